--- a/cmd/mimosaspring/cmds/check.go
+++ b/cmd/mimosaspring/cmds/check.go
@@ -10,6 +10,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/process/commandline"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/toml"
 )
@@ -61,7 +62,7 @@
 func viewOf(documents []api.Received) *view.View {
 	state := control.NewState(api.Member{}, 0, time.Time{})
 	for _, received := range documents {
-		control.Apply(state, control.DocumentReceived{Received: received}, time.Time{})
+		control.Apply(state, message.DocumentReceived{Received: received}, time.Time{})
 	}
 	return control.Build(state, control.All)
 }
--- a/cmd/mimosaspring/cmds/try.go
+++ b/cmd/mimosaspring/cmds/try.go
@@ -10,11 +10,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/mimosaspring/mimosaspring/internal/process/commandline"
-	"github.com/mimosaspring/mimosaspring/internal/process/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/standin/deployment"
 	"github.com/mimosaspring/mimosaspring/internal/standin/trial"
 	"github.com/mimosaspring/mimosaspring/internal/standin/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 )
 
 type tryCmd struct {
--- a/internal/command/caller/handler.go
+++ b/internal/command/caller/handler.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/mimosaspring/mimosaspring/internal/process/metrics"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 	wire "github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
 
--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -125,7 +126,7 @@
 		}
 	})
 	state.Replicas = replicas
-	maps.DeleteFunc(state.Held, func(name string, held ReplicaHeld) bool {
+	maps.DeleteFunc(state.Held, func(name string, held message.ReplicaHeld) bool {
 		return replicas[name] == nil || replicas[name].Instance.Incarnation != held.Incarnation
 	})
 }
--- a/internal/command/control/build_bench_test.go
+++ b/internal/command/control/build_bench_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 )
 
 // sizedState returns the state of an instance that knows so many members and
@@ -17,7 +18,7 @@
 	state := newState("entry-0")
 	for number := 1; number < members; number++ {
 		gossip := api.Gossip{Members: []api.Member{member(fmt.Sprintf("entry-%d", number))}}
-		control.Apply(state, control.GossipReceived{Gossip: gossip}, start)
+		control.Apply(state, message.GossipReceived{Gossip: gossip}, start)
 	}
 	for first := 0; first < replicas/2; first += shardsPerDocument {
 		var index api.Index
@@ -40,7 +41,7 @@
 }
 
 func receive(state *control.State, received api.Received) {
-	control.Apply(state, control.DocumentReceived{Received: received}, time.Time{})
+	control.Apply(state, message.DocumentReceived{Received: received}, time.Time{})
 }
 
 // BenchmarkBuild measures a View after each kind of change, and the heap that
--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -31,7 +32,7 @@
 
 // Control is the goroutine that owns the control state.
 type Control struct {
-	Mailbox   *mailbox.Mailbox[Message]
+	Mailbox   *mailbox.Mailbox[message.Message]
 	Published *view.Published
 
 	state  *State
@@ -47,7 +48,7 @@
 // New returns the control part of an instance.
 func New(state *State, logger *zap.Logger) *Control {
 	return &Control{
-		Mailbox:   mailbox.New[Message](mailboxSize),
+		Mailbox:   mailbox.New[message.Message](mailboxSize),
 		Published: view.NewPublished(),
 		state:     state,
 		logger:    logger,
@@ -77,14 +78,14 @@
 			control.perform(control.applyBatch(message))
 		case <-ticker.C:
 			control.perform(control.checkPause())
-			control.perform(Apply(control.state, Ticked{}, time.Now()))
+			control.perform(Apply(control.state, message.Ticked{}, time.Now()))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (control *Control) applyBatch(first Message) Effects {
+func (control *Control) applyBatch(first message.Message) Effects {
 	effects := Apply(control.state, first, time.Now())
 	for range batchSize {
 		select {
@@ -106,7 +107,7 @@
 		return Effects{}
 	}
 	control.logger.Warn("process was paused", zap.Duration("gap", gap))
-	return Apply(control.state, Ticked{Gap: gap}, now)
+	return Apply(control.state, message.Ticked{Gap: gap}, now)
 }
 
 func (control *Control) perform(effects Effects) {
--- a/internal/command/control/membership.go
+++ b/internal/command/control/membership.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 )
 
 func applyGossip(state *State, gossip api.Gossip, now time.Time) Effects {
@@ -92,7 +93,7 @@
 	return effects
 }
 
-func applyPeerProbed(state *State, probed PeerProbed) Effects {
+func applyPeerProbed(state *State, probed message.PeerProbed) Effects {
 	member, isKnown := state.Members[probed.Name]
 	if !isKnown || member.Load == probed.Load {
 		return Effects{}
@@ -102,7 +103,7 @@
 	return Effects{Figures: true}
 }
 
-func applyUnreachable(state *State, unreachable PeerUnreachable, now time.Time) Effects {
+func applyUnreachable(state *State, unreachable message.PeerUnreachable, now time.Time) Effects {
 	member, isKnown := state.Members[unreachable.Name]
 	if !isKnown || member.Incarnation != unreachable.Incarnation {
 		return Effects{}
--- a/internal/command/control/snapshot.go
+++ b/internal/command/control/snapshot.go
@@ -4,13 +4,14 @@
 	"maps"
 	"slices"
 
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
 // ChooseSnapshot returns the snapshot that the most shards can serve. Among
 // equals it prefers the published one, then the newest. A replica that has
 // not reported counts for the published snapshot.
-func ChooseSnapshot(index view.Index, held map[string]ReplicaHeld) uint64 {
+func ChooseSnapshot(index view.Index, held map[string]message.ReplicaHeld) uint64 {
 	covered := map[uint64]int{index.Published: 0}
 	for _, shard := range index.Shards {
 		for snapshot := range shardSnapshots(index.Published, shard, held) {
@@ -31,7 +32,7 @@
 	return best
 }
 
-func shardSnapshots(published uint64, shard view.Shard, held map[string]ReplicaHeld) map[uint64]bool {
+func shardSnapshots(published uint64, shard view.Shard, held map[string]message.ReplicaHeld) map[uint64]bool {
 	snapshots := make(map[uint64]bool)
 	for _, replica := range shard.Replicas {
 		report, isReported := held[replica.Instance.Name]
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -30,7 +31,7 @@
 	// Stopped holds when each home that stopped with an heir was learned.
 	Stopped map[api.Stopped]time.Time
 	// Held holds the snapshots that each replica last reported.
-	Held map[string]ReplicaHeld
+	Held map[string]message.ReplicaHeld
 	// Replicas holds the published replicas, by name.
 	Replicas      map[string]*view.Replica
 	PlatformHeard time.Time
@@ -79,39 +80,39 @@
 		Members:          map[string]Member{self.Instance.Name: {Member: self, Since: now}},
 		Marks:            make(map[api.LeavingMark]time.Time),
 		Stopped:          make(map[api.Stopped]time.Time),
-		Held:             make(map[string]ReplicaHeld),
+		Held:             make(map[string]message.ReplicaHeld),
 		Replicas:         make(map[string]*view.Replica),
 	}
 }
 
 // Apply applies one message and returns what the owner must do.
-func Apply(state *State, message Message, now time.Time) Effects {
-	switch message := message.(type) {
-	case DocumentReceived:
-		return applyDocument(state, message.Received)
-	case PlatformAnswered:
-		return applyPlatformAnswered(state, message.At)
-	case StaleAnswered:
+func Apply(state *State, news message.Message, now time.Time) Effects {
+	switch news := news.(type) {
+	case message.DocumentReceived:
+		return applyDocument(state, news.Received)
+	case message.PlatformAnswered:
+		return applyPlatformAnswered(state, news.At)
+	case message.StaleAnswered:
 		state.StaleAnswers++
 		return Effects{Figures: true}
-	case GossipReceived:
-		return applyGossip(state, message.Gossip, now)
-	case PeerProbed:
-		return applyPeerProbed(state, message)
-	case PeerUnreachable:
-		return applyUnreachable(state, message, now)
-	case ReplicaLeaving:
-		return applyMark(state, message.Mark, now)
-	case ReplicaHeld:
-		return applyHeld(state, message)
-	case Refreshed:
+	case message.GossipReceived:
+		return applyGossip(state, news.Gossip, now)
+	case message.PeerProbed:
+		return applyPeerProbed(state, news)
+	case message.PeerUnreachable:
+		return applyUnreachable(state, news, now)
+	case message.ReplicaLeaving:
+		return applyMark(state, news.Mark, now)
+	case message.ReplicaHeld:
+		return applyHeld(state, news)
+	case message.Refreshed:
 		return Effects{Release: true}
-	case Stopping:
+	case message.Stopping:
 		return applySelf(state, api.MemberLeaving, "", now)
-	case Stopped:
-		return applySelf(state, api.MemberLeft, message.Heir, now)
-	case Ticked:
-		return applyTick(state, message.Gap, now)
+	case message.Stopped:
+		return applySelf(state, api.MemberLeft, news.Heir, now)
+	case message.Ticked:
+		return applyTick(state, news.Gap, now)
 	}
 	return Effects{}
 }
@@ -163,7 +164,7 @@
 	return Effects{Rebuild: true, Gossip: api.Gossip{Marks: []api.LeavingMark{mark}}}
 }
 
-func applyHeld(state *State, held ReplicaHeld) Effects {
+func applyHeld(state *State, held message.ReplicaHeld) Effects {
 	replica := state.Replicas[held.Replica]
 	if replica == nil || replica.Instance.Incarnation != held.Incarnation {
 		return Effects{}
--- a/internal/command/control/state_test.go
+++ b/internal/command/control/state_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -63,7 +64,7 @@
 func applyAll(t *rapid.T, state *control.State, documents []api.Received) {
 	for _, received := range documents {
 		before := state.InForce[received.Document.Key].Document.Revision
-		control.Apply(state, control.DocumentReceived{Received: received}, start)
+		control.Apply(state, message.DocumentReceived{Received: received}, start)
 		after := state.InForce[received.Document.Key].Document.Revision
 		assert.Assert(t, after >= before, "revision %d after %d", after, before)
 	}
@@ -101,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			state := newState("a")
 			for _, news := range test.news {
-				control.Apply(state, control.GossipReceived{Gossip: api.Gossip{Members: []api.Member{news}}}, start)
+				control.Apply(state, message.GossipReceived{Gossip: api.Gossip{Members: []api.Member{news}}}, start)
 			}
 			assert.Equal(t, state.Members["b"].State, test.want)
 		})
@@ -110,14 +111,14 @@
 
 func TestSuspicion(t *testing.T) {
 	tests := map[string]struct {
-		messages []control.Message
+		messages []message.Message
 		after    time.Duration
 		want     api.MemberState
 	}{
 		"within the timeout": {after: time.Second, want: api.MemberSuspect},
 		"after the timeout":  {after: 3 * time.Second, want: api.MemberFailed},
 		"own pause is not counted": {
-			messages: []control.Message{control.Ticked{Gap: 5 * time.Second}},
+			messages: []message.Message{message.Ticked{Gap: 5 * time.Second}},
 			after:    6 * time.Second,
 			want:     api.MemberSuspect,
 		},
@@ -125,12 +126,12 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			state := newState("a")
-			control.Apply(state, control.GossipReceived{Gossip: api.Gossip{Members: []api.Member{member("b")}}}, start)
-			control.Apply(state, control.PeerUnreachable{Name: "b", Incarnation: 1}, start)
+			control.Apply(state, message.GossipReceived{Gossip: api.Gossip{Members: []api.Member{member("b")}}}, start)
+			control.Apply(state, message.PeerUnreachable{Name: "b", Incarnation: 1}, start)
 			for _, message := range test.messages {
 				control.Apply(state, message, start)
 			}
-			control.Apply(state, control.Ticked{}, start.Add(test.after))
+			control.Apply(state, message.Ticked{}, start.Add(test.after))
 			assert.Equal(t, state.Members["b"].State, test.want)
 		})
 	}
@@ -140,7 +141,7 @@
 	state := newState("a")
 	accused := member("a")
 	accused.State = api.MemberFailed
-	effects := control.Apply(state, control.GossipReceived{Gossip: api.Gossip{Members: []api.Member{accused}}}, start)
+	effects := control.Apply(state, message.GossipReceived{Gossip: api.Gossip{Members: []api.Member{accused}}}, start)
 	assert.Equal(t, state.Self.State, api.MemberAlive)
 	assert.Equal(t, effects.Gossip.Members[0].Refutation, uint64(1))
 	assert.Assert(t, control.IsNewer(effects.Gossip.Members[0], accused))
@@ -148,18 +149,18 @@
 
 func TestLeavingIsSticky(t *testing.T) {
 	state := newState("a")
-	apply := func(message control.Message) { control.Apply(state, message, start) }
+	apply := func(message message.Message) { control.Apply(state, message, start) }
 	upstreams := api.Upstreams{Upstreams: []api.Upstream{{Name: "desk", Slots: 1, ConnectionLimit: 1}}}
 	list := func(incarnation uint64) *api.InstanceList {
 		return &api.InstanceList{Instances: []api.Instance{{Name: "r", Upstream: "desk", State: api.InstanceLive, Incarnation: incarnation}}}
 	}
 	receive := func(key string, revision uint64, received api.Received) {
 		received.Document = api.Document{Key: key, Revision: revision}
-		apply(control.DocumentReceived{Received: received})
+		apply(message.DocumentReceived{Received: received})
 	}
 	receive("upstreams/x", 1, api.Received{Upstreams: &upstreams})
 	receive("instances/x", 2, api.Received{Instances: list(1)})
-	apply(control.ReplicaLeaving{Mark: api.LeavingMark{Replica: "r", Incarnation: 1}})
+	apply(message.ReplicaLeaving{Mark: api.LeavingMark{Replica: "r", Incarnation: 1}})
 	assert.Assert(t, control.Build(state, control.All).Replicas["r"].Traffic.Leaving.Load())
 	receive("instances/x", 3, api.Received{Instances: list(1)})
 	assert.Assert(t, control.Build(state, control.All).Replicas["r"].Traffic.Leaving.Load(), "the lagging list says live")
@@ -187,9 +188,9 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			held := make(map[string]control.ReplicaHeld)
+			held := make(map[string]message.ReplicaHeld)
 			for replica, snapshots := range test.held {
-				held[replica] = control.ReplicaHeld{Replica: replica, Held: snapshots}
+				held[replica] = message.ReplicaHeld{Replica: replica, Held: snapshots}
 			}
 			got := control.ChooseSnapshot(view.Index{Published: test.published, Shards: shards}, held)
 			assert.Equal(t, got, test.want)
--- a/internal/command/peer/news.go
+++ b/internal/command/peer/news.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/toml"
 )
@@ -24,7 +24,7 @@
 			wanted = append(wanted, key.Key)
 		}
 	}
-	_ = peers.mailbox.Send(ctx, control.GossipReceived{Gossip: gossip})
+	_ = peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip})
 	if len(wanted) > 0 && gossip.From != "" {
 		puller := &puller{peers: peers, address: gossip.From, keys: wanted}
 		go puller.run()
@@ -51,7 +51,7 @@
 // that one in force comes before a newer one that was refused.
 func (peers *Peers) takeDocuments(ctx context.Context, documents []api.Document) {
 	for _, document := range documents {
-		_ = peers.mailbox.Send(ctx, control.DocumentReceived{Received: toml.Parse(document)})
+		_ = peers.mailbox.Send(ctx, message.DocumentReceived{Received: toml.Parse(document)})
 	}
 }
 
@@ -77,7 +77,7 @@
 
 // answerSync answers with all that the asking peer lacks.
 func (peers *Peers) answerSync(ctx context.Context, request api.SyncRequest) api.CallReply {
-	_ = peers.mailbox.Send(ctx, control.GossipReceived{Gossip: api.Gossip{Members: []api.Member{request.From}}})
+	_ = peers.mailbox.Send(ctx, message.GossipReceived{Gossip: api.Gossip{Members: []api.Member{request.From}}})
 	current := peers.published.Load()
 	inForce := revisions(request.InForce)
 	refused := revisions(request.Refused)
@@ -119,7 +119,7 @@
 	}
 	peers.takeDocuments(ctx, reply.Sync.Documents)
 	gossip := api.Gossip{Members: reply.Sync.Members, Marks: reply.Sync.Marks, Stopped: reply.Sync.Stopped}
-	return peers.mailbox.Send(ctx, control.GossipReceived{Gossip: gossip})
+	return peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip})
 }
 
 // syncer repairs the difference to one peer.
@@ -169,5 +169,5 @@
 			break
 		}
 	}
-	_ = peers.mailbox.Send(peers.ctx, control.Refreshed{})
+	_ = peers.mailbox.Send(peers.ctx, message.Refreshed{})
 }
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -14,6 +14,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/settings"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/quic"
@@ -37,7 +38,7 @@
 type Peers struct {
 	endpoint  *quic.Endpoint
 	published *view.Published
-	mailbox   *mailbox.Mailbox[control.Message]
+	mailbox   *mailbox.Mailbox[message.Message]
 	settings  settings.Peers
 	seeds     []string
 	logger    *zap.Logger
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -8,8 +8,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 )
 
 const (
@@ -88,7 +88,7 @@
 		return
 	}
 	probe.peers.logger.Debug("peer unreachable", zap.String("peer", probe.member.Instance.Name))
-	message := control.PeerUnreachable{Name: probe.member.Instance.Name, Incarnation: probe.member.Incarnation}
+	message := message.PeerUnreachable{Name: probe.member.Instance.Name, Incarnation: probe.member.Incarnation}
 	_ = probe.peers.mailbox.Send(probe.peers.ctx, message)
 }
 
@@ -223,7 +223,7 @@
 	}
 	peers.heard.Store(probe.From, time.Now())
 	if member.Load != probe.Load {
-		peers.mailbox.Offer(control.PeerProbed{Name: probe.From, Load: probe.Load})
+		peers.mailbox.Offer(message.PeerProbed{Name: probe.From, Load: probe.Load})
 	}
 	if probe.PlatformAge > 0 {
 		peers.observePlatform(time.Now().Add(-time.Duration(probe.PlatformAge)*time.Millisecond), current.PlatformHeard)
@@ -238,6 +238,6 @@
 
 func (peers *Peers) observePlatform(at, known time.Time) {
 	if at.Sub(known) > platformStep {
-		peers.mailbox.Offer(control.PlatformAnswered{At: at})
+		peers.mailbox.Offer(message.PlatformAnswered{At: at})
 	}
 }
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -13,6 +13,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	wire "github.com/mimosaspring/mimosaspring/internal/wire/http"
 	"github.com/mimosaspring/mimosaspring/internal/wire/toml"
@@ -29,7 +30,7 @@
 // Reader watches the configuration service while this instance is a reader.
 type Reader struct {
 	published *view.Published
-	mailbox   *mailbox.Mailbox[control.Message]
+	mailbox   *mailbox.Mailbox[message.Message]
 	logger    *zap.Logger
 	platforms []wire.Platform
 	current   int
@@ -79,7 +80,7 @@
 	if listing.Revision < max(reader.revision, newestRevision(reader.published.Load())) {
 		return reader.refuseStale(ctx, listing.Revision)
 	}
-	if err := reader.mailbox.Send(ctx, control.PlatformAnswered{At: time.Now()}); err != nil {
+	if err := reader.mailbox.Send(ctx, message.PlatformAnswered{At: time.Now()}); err != nil {
 		return err
 	}
 	if err := reader.readNew(ctx, platform, listing); err != nil {
@@ -110,7 +111,7 @@
 		if document.Revision < key.Revision {
 			return reader.refuseStale(ctx, document.Revision)
 		}
-		if err := reader.mailbox.Send(ctx, control.DocumentReceived{Received: toml.Parse(document)}); err != nil {
+		if err := reader.mailbox.Send(ctx, message.DocumentReceived{Received: toml.Parse(document)}); err != nil {
 			return err
 		}
 	}
@@ -132,7 +133,7 @@
 }
 
 func (reader *Reader) refuseStale(ctx context.Context, revision uint64) error {
-	if err := reader.mailbox.Send(ctx, control.StaleAnswered{}); err != nil {
+	if err := reader.mailbox.Send(ctx, message.StaleAnswered{}); err != nil {
 		return err
 	}
 	return &StaleError{Peer: reader.platforms[reader.current].Address, Revision: revision, Known: reader.revision}
--- a/internal/command/upstream/sender.go
+++ b/internal/command/upstream/sender.go
@@ -13,6 +13,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
@@ -30,7 +31,7 @@
 // Sender sends commands to replicas.
 type Sender struct {
 	published *view.Published
-	mailbox   *mailbox.Mailbox[control.Message]
+	mailbox   *mailbox.Mailbox[message.Message]
 	links     *http.Links
 	logger    *zap.Logger
 }
@@ -187,7 +188,7 @@
 
 func (sender *Sender) judgeReply(replica *view.Replica, shard view.Shard, reply api.Reply) (api.Result, bool) {
 	if reply.Leaving {
-		control.ReportLeaving(sender.mailbox, replica)
+		message.ReportLeaving(sender.mailbox, replica)
 	}
 	switch {
 	case reply.Status == api.ReplyDone:
--- a/internal/command/upstream/watcher.go
+++ b/internal/command/upstream/watcher.go
@@ -9,6 +9,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
@@ -23,7 +24,7 @@
 // owner is found by rendezvous hashing, so that each replica has one.
 type Watcher struct {
 	published *view.Published
-	mailbox   *mailbox.Mailbox[control.Message]
+	mailbox   *mailbox.Mailbox[message.Message]
 	links     *http.Links
 }
 
@@ -95,7 +96,7 @@
 	traffic.ReportedLoad.Store(int64(health.InFlight + health.Queued))
 	traffic.ReportedAt.Store(int64(view.Since()))
 	if health.Leaving {
-		control.ReportLeaving(watcher.mailbox, check.replica)
+		message.ReportLeaving(watcher.mailbox, check.replica)
 	}
-	control.ReportHeld(watcher.mailbox, check.replica, health.Held)
+	message.ReportHeld(watcher.mailbox, check.replica, health.Held)
 }
--- a/internal/process/instance/stop.go
+++ b/internal/process/instance/stop.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
-	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -26,7 +26,7 @@
 func (instance *Instance) Stop(ctx context.Context) {
 	instance.stopping.Store(true)
 	instance.logger.Info("instance is leaving")
-	_ = instance.control.Mailbox.Send(ctx, control.Stopping{})
+	_ = instance.control.Mailbox.Send(ctx, message.Stopping{})
 	wait(ctx, instance.settings.Callers.KeepTime.Duration)
 	drain, cancel := context.WithTimeout(ctx, instance.settings.Stop.DrainTimeout.Duration)
 	defer cancel()
@@ -35,7 +35,7 @@
 	}
 	instance.home.Close(drain)
 	heir := instance.handover()
-	_ = instance.control.Mailbox.Send(context.Background(), control.Stopped{Heir: heir})
+	_ = instance.control.Mailbox.Send(context.Background(), message.Stopped{Heir: heir})
 	wait(ctx, farewell)
 	instance.close()
 	instance.logger.Info("instance stopped")
--- a/internal/query/caller/handler.go
+++ b/internal/query/caller/handler.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/mimosaspring/mimosaspring/internal/process/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	wire "github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -7,8 +7,8 @@
 	"strconv"
 	"time"
 
-	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -94,9 +94,9 @@
 	replica.Traffic.ReportedLoad.Store(int64(reply.Load))
 	replica.Traffic.ReportedAt.Store(int64(view.Since()))
 	if reply.Leaving {
-		control.ReportLeaving(mailbox, replica)
+		message.ReportLeaving(mailbox, replica)
 	}
-	control.ReportHeld(mailbox, replica, reply.Held)
+	message.ReportHeld(mailbox, replica, reply.Held)
 }
 
 func (attempt *attempt[C, H]) judgeReply(reply api.Reply, latency time.Duration) attemptResult {
--- a/internal/query/upstream/fanout.go
+++ b/internal/query/upstream/fanout.go
@@ -7,10 +7,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/mimosaspring/mimosaspring/internal/command/control"
-	"github.com/mimosaspring/mimosaspring/internal/process/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
@@ -33,7 +33,7 @@
 	Choice    C
 	Hedge     H
 	Published *view.Published
-	Mailbox   *mailbox.Mailbox[control.Message]
+	Mailbox   *mailbox.Mailbox[message.Message]
 	Links     *http.Links
 	Metrics   *metrics.Metrics
 }
--- a/internal/standin/caller/report.go
+++ b/internal/standin/caller/report.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/mimosaspring/mimosaspring/internal/process/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 )
 
 // Report is how a load went.
--- a/internal/command/control/message.go
+++ b/internal/state/message/message.go
@@ -1,6 +1,5 @@
-// Package control owns the control state of an instance. One goroutine
-// applies typed messages to it and publishes immutable Views to traffic.
-package control
+// Package message holds the messages that the control goroutine applies.
+package message
 
 import (
 	"time"
@@ -83,36 +82,3 @@
 func (Stopping) message()         {}
 func (Stopped) message()          {}
 func (Ticked) message()           {}
-
-// Effects is what the owner of the state must do after a message.
-type Effects struct {
-	// Rebuild asks at once for a View with the shards and scopes built anew.
-	Rebuild bool
-	// Membership asks at once for a View with the roles worked out anew.
-	Membership bool
-	// Figures asks for a View with new loads and ages; it may wait.
-	Figures bool
-	// Gossip is news for the neighbours.
-	Gossip api.Gossip
-	// Refresh asks for one refresh of the state from a peer.
-	Refresh bool
-	// Release ends the hold of traffic after a refresh.
-	Release bool
-}
-
-func (effects *Effects) merge(other Effects) {
-	effects.Membership = effects.Membership || other.Membership
-	effects.Figures = effects.Figures || other.Figures
-	effects.Rebuild = effects.Rebuild || other.Rebuild
-	effects.Refresh = effects.Refresh || other.Refresh
-	effects.Release = effects.Release || other.Release
-	effects.Gossip.Members = append(effects.Gossip.Members, other.Gossip.Members...)
-	effects.Gossip.Keys = append(effects.Gossip.Keys, other.Gossip.Keys...)
-	effects.Gossip.Marks = append(effects.Gossip.Marks, other.Gossip.Marks...)
-	effects.Gossip.Stopped = append(effects.Gossip.Stopped, other.Gossip.Stopped...)
-}
-
-func (effects Effects) hasGossip() bool {
-	gossip := effects.Gossip
-	return len(gossip.Members)+len(gossip.Keys)+len(gossip.Marks)+len(gossip.Stopped) > 0
-}
--- a/internal/command/control/report.go
+++ b/internal/state/message/report.go
@@ -1,4 +1,4 @@
-package control
+package message
 
 import (
 	"slices"
