--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
@@ -36,6 +35,8 @@
 		IsReader:      roles.isReader,
 		Indexes:       configuration.indexes,
 		Scopes:        configuration.scopes,
+		Routes:        configuration.routes,
+		Limits:        configuration.limits,
 		Replicas:      state.Replicas,
 		Keys:          configuration.keys,
 		Digest:        configuration.digest,
@@ -53,13 +54,17 @@
 func buildConfiguration(state *State) {
 	upstreams := publishedUpstreams(state)
 	buildReplicas(state, upstreams)
-	indexes := buildIndexes(state, upstreams)
+	byUpstream := replicasByUpstream(state)
+	indexes := buildIndexes(state, upstreams, byUpstream)
+	scopes := buildScopes(state, indexes, targetsOf(upstreams, byUpstream))
 	state.configuration = configuration{
 		listed:  listedInstances(state),
 		inForce: documents(state.InForce),
 		refused: documents(state.Refused),
 		indexes: indexes,
-		scopes:  buildScopes(state, indexes),
+		scopes:  scopes,
+		routes:  buildRoutes(scopes),
+		limits:  publishedLimits(state),
 		keys:    keyStatuses(state),
 		digest:  keysDigest(state),
 		marks:   slices.Collect(maps.Keys(state.Marks)),
@@ -69,22 +74,49 @@
 func buildRoles(state *State, members map[string]api.Member) {
 	state.roles = roles{
 		neighbours: Neighbours(members, state.Self.Instance.Name),
-		isReader:   IsReader(members, state.Self),
+		isReader:   IsReader(members, state.Self, state.ReadersPerFailureDomain),
 		digest:     membersDigest(members, state.Stopped),
 		stopped:    slices.Collect(maps.Keys(state.Stopped)),
 	}
 }
 
-// published visits the documents in force under prefix, in the order of keys.
-func published(state *State, prefix string, visit func(api.Received)) {
+// published visits the documents in force, in the order of keys.
+func published(state *State, visit func(api.Received)) {
 	for _, key := range slices.Sorted(maps.Keys(state.InForce)) {
 		received := state.InForce[key]
-		if strings.HasPrefix(key, prefix) && !received.Document.Deleted {
+		if !received.Document.Deleted {
 			visit(received)
 		}
 	}
 }
 
+// publishedInstances visits the instances of all documents in force.
+func publishedInstances(state *State, visit func(api.Instance)) {
+	published(state, func(received api.Received) {
+		if received.Instances == nil {
+			return
+		}
+		for _, instance := range received.Instances.Instances {
+			visit(instance)
+		}
+	})
+}
+
+func publishedLimits(state *State) api.CallerLimits {
+	limits := api.CallerLimits{MaxBodyBytes: defaultMaxBody}
+	published(state, func(received api.Received) {
+		if received.Limits != nil {
+			limits = *received.Limits
+		}
+	})
+	return limits
+}
+
+// defaultMaxBody is the largest body of a relayed request, in bytes, where no
+// document sets a limit: what the smallest instance can hold for each request
+// that it serves at once.
+const defaultMaxBody = 256 << 10
+
 func documents(received map[string]api.Received) map[string]api.Document {
 	documents := make(map[string]api.Document, len(received))
 	for key, one := range received {
@@ -95,11 +127,9 @@
 
 func listedInstances(state *State) []api.Instance {
 	var listed []api.Instance
-	published(state, api.InstancesPrefix, func(received api.Received) {
-		for _, instance := range received.Instances.Instances {
-			if instance.Upstream == api.OwnUpstream {
-				listed = append(listed, instance)
-			}
+	publishedInstances(state, func(instance api.Instance) {
+		if instance.Upstream == api.OwnUpstream {
+			listed = append(listed, instance)
 		}
 	})
 	return listed
@@ -107,7 +137,10 @@
 
 func publishedUpstreams(state *State) map[string]api.Upstream {
 	upstreams := make(map[string]api.Upstream)
-	published(state, api.UpstreamsPrefix, func(received api.Received) {
+	published(state, func(received api.Received) {
+		if received.Upstreams == nil {
+			return
+		}
 		for _, upstream := range received.Upstreams.Upstreams {
 			upstreams[upstream.Name] = upstream
 		}
@@ -117,28 +150,40 @@
 
 func buildReplicas(state *State, upstreams map[string]api.Upstream) {
 	replicas := make(map[string]*view.Replica, len(state.Replicas))
-	published(state, api.InstancesPrefix, func(received api.Received) {
-		for _, instance := range received.Instances.Instances {
-			upstream, isKnown := upstreams[instance.Upstream]
-			if isKnown {
-				replicas[instance.Name] = buildReplica(state, instance, upstream)
-			}
+	publishedInstances(state, func(instance api.Instance) {
+		if upstream, isKnown := upstreams[instance.Upstream]; isKnown {
+			replicas[instance.Name] = buildReplica(state, instance, upstream)
 		}
 	})
+	retireReplicas(state.Replicas, replicas)
 	state.Replicas = replicas
 	maps.DeleteFunc(state.Held, func(name string, held message.ReplicaHeld) bool {
 		return replicas[name] == nil || replicas[name].Instance.Incarnation != held.Incarnation
 	})
 }
 
+// retireReplicas marks the incarnations that are no longer published as
+// leaving, for the requests that hold an older View.
+func retireReplicas(old, current map[string]*view.Replica) {
+	for name, replica := range old {
+		if next := current[name]; next == nil || next.Traffic != replica.Traffic {
+			replica.Traffic.Leaving.Store(true)
+		}
+	}
+}
+
 // buildReplica keeps the traffic counters of an incarnation over all Views.
 func buildReplica(state *State, instance api.Instance, upstream api.Upstream) *view.Replica {
+	if instance.Slots > 0 {
+		upstream.Slots = instance.Slots
+	}
 	replica := &view.Replica{Instance: instance, Upstream: upstream}
 	known := state.Replicas[instance.Name]
 	if known != nil && known.Instance.Incarnation == instance.Incarnation {
 		replica.Traffic = known.Traffic
 	} else {
 		replica.Traffic = &view.Traffic{}
+		replica.Traffic.ColdUntil.Store(int64(view.Since() + instance.ColdLeft))
 	}
 	_, isMarked := state.Marks[api.LeavingMark{Replica: instance.Name, Incarnation: instance.Incarnation}]
 	if isMarked || instance.State == api.InstanceLeaving {
@@ -147,7 +192,8 @@
 	return replica
 }
 
-func buildIndexes(state *State, upstreams map[string]api.Upstream) map[string]view.Index {
+// replicasByUpstream returns the replicas that may take new work.
+func replicasByUpstream(state *State) map[string][]*view.Replica {
 	byUpstream := make(map[string][]*view.Replica)
 	for _, name := range slices.Sorted(maps.Keys(state.Replicas)) {
 		replica := state.Replicas[name]
@@ -155,8 +201,15 @@
 			byUpstream[replica.Upstream.Name] = append(byUpstream[replica.Upstream.Name], replica)
 		}
 	}
+	return byUpstream
+}
+
+func buildIndexes(state *State, upstreams map[string]api.Upstream, byUpstream map[string][]*view.Replica) map[string]view.Index {
 	indexes := make(map[string]view.Index)
-	published(state, api.IndexPrefix, func(received api.Received) {
+	published(state, func(received api.Received) {
+		if received.Index == nil {
+			return
+		}
 		index := view.Index{Name: received.Index.Name, Published: received.Index.Snapshot}
 		for _, shard := range received.Index.Shards {
 			index.Shards = append(index.Shards, view.Shard{
@@ -173,14 +226,50 @@
 	return indexes
 }
 
-func buildScopes(state *State, indexes map[string]view.Index) map[string]view.Scope {
+func buildScopes(state *State, indexes map[string]view.Index, targets func(split []api.Share) []view.Target) map[string]view.Scope {
 	scopes := make(map[string]view.Scope)
-	published(state, api.ScopePrefix, func(received api.Received) {
-		scopes[received.Scope.Name] = BuildScope(*received.Scope, indexes[received.Scope.Index])
+	add := func(scope api.Scope) {
+		built := BuildScope(scope, indexes[scope.Index])
+		built.Targets = targets(scope.Split)
+		scopes[scope.Name] = built
+	}
+	published(state, func(received api.Received) {
+		if received.Scope != nil {
+			add(*received.Scope)
+		}
+		for _, scope := range received.Scopes {
+			add(scope)
+		}
 	})
 	return scopes
 }
 
+// targetsOf returns the function that looks up the upstreams of a split.
+func targetsOf(upstreams map[string]api.Upstream, byUpstream map[string][]*view.Replica) func([]api.Share) []view.Target {
+	return func(split []api.Share) []view.Target {
+		targets := make([]view.Target, 0, len(split))
+		for _, share := range split {
+			shard := view.Shard{Name: share.Upstream, Upstream: upstreams[share.Upstream], Replicas: byUpstream[share.Upstream]}
+			targets = append(targets, view.Target{Weight: share.Weight, Shard: shard})
+		}
+		return targets
+	}
+}
+
+// buildRoutes returns the routes of all scopes; nil before there is a scope.
+func buildRoutes(scopes map[string]view.Scope) view.Routes {
+	if len(scopes) == 0 {
+		return nil
+	}
+	routes := make(view.Routes, len(scopes))
+	for name, scope := range scopes {
+		for _, route := range scope.Scope.Routes {
+			routes[view.RouteKey{Host: route.Host, Prefix: route.Prefix}] = view.RouteTarget{Scope: name, Kind: route.Kind}
+		}
+	}
+	return routes
+}
+
 // BuildScope selects the shards of every kind of scope from index.
 func BuildScope(scope api.Scope, index view.Index) view.Scope {
 	built := view.Scope{Scope: scope, Selections: make(map[string]view.Selection, len(scope.Selectors))}
--- a/internal/command/control/membership.go
+++ b/internal/command/control/membership.go
@@ -66,8 +66,14 @@
 
 func isLeaving(state api.MemberState) bool { return state >= api.MemberLeaving }
 
-// applyOwnNews refutes news that this instance is suspect or failed.
+// applyOwnNews refutes news that this instance is suspect or failed. An earlier
+// process of its name may have had a higher incarnation, where the time of day
+// was set back meanwhile; this one then takes the next.
 func applyOwnNews(state *State, news api.Member, now time.Time) Effects {
+	if news.Incarnation > state.Self.Incarnation {
+		state.Self.Incarnation = news.Incarnation + 1
+		return publishSelf(state, now)
+	}
 	if news.Incarnation != state.Self.Incarnation || !IsNewer(news, state.Self) {
 		return Effects{}
 	}
--- a/internal/command/control/roles.go
+++ b/internal/command/control/roles.go
@@ -11,9 +11,6 @@
 
 // Sizes of the roles.
 const (
-	// readersPerFailureDomain is how many instances of a failure domain watch
-	// the platform.
-	readersPerFailureDomain = 3
 	// fullMeshMembers is up to how many members every pair is neighbours.
 	fullMeshMembers = 9
 	// neighbourRings is how many rings a larger fleet forms; a member's
@@ -98,9 +95,9 @@
 	return xxhash.Sum64(append(append(text[:0], byte('a'+ring), '/'), name...))
 }
 
-// IsReader reports whether self is among the readers of its failure domain,
-// by rendezvous hashing over the members that are heard.
-func IsReader(members map[string]api.Member, self api.Member) bool {
+// IsReader reports whether self is among so many readers of its failure
+// domain, by rendezvous hashing over the members that are heard.
+func IsReader(members map[string]api.Member, self api.Member, readers int) bool {
 	own := readerRank(self.Instance.Name)
 	ahead := 0
 	for name, member := range members {
@@ -111,7 +108,7 @@
 			ahead++
 		}
 	}
-	return ahead < readersPerFailureDomain
+	return ahead < readers
 }
 
 func readerRank(name string) uint64 { return xxhash.Sum64String("reader/" + name) }
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -17,15 +17,24 @@
 	markForget = 24 * time.Hour
 )
 
+// defaultReaders is ReadersPerFailureDomain where nothing sets it: one may be
+// lost and another late.
+const defaultReaders = 3
+
 // State is all that control knows. Only the control goroutine touches it.
 type State struct {
 	Self             api.Member
 	SuspicionTimeout time.Duration
+	// ReadersPerFailureDomain is how many instances of a failure domain read
+	// the platform for the others.
+	ReadersPerFailureDomain int
 	// InForce holds the newest valid document of each key, deletions too.
 	InForce map[string]api.Received
 	// Refused holds the documents that are newer than those in force.
 	Refused map[string]api.Received
 	Members map[string]Member
+	// Lapsed holds the removals that wait for the entry's return.
+	Lapsed map[string]Lapse
 	// Marks holds when each leaving mark was learned.
 	Marks map[api.LeavingMark]time.Time
 	// Stopped holds when each home that stopped with an heir was learned.
@@ -51,6 +60,8 @@
 	refused map[string]api.Document
 	indexes map[string]view.Index
 	scopes  map[string]view.Scope
+	routes  view.Routes
+	limits  api.CallerLimits
 	keys    []view.KeyStatus
 	digest  uint64
 	marks   []api.LeavingMark
@@ -64,6 +75,14 @@
 	digest     uint64
 }
 
+// Lapse is the removal of an entry that may have lapsed while the platform was
+// away.
+type Lapse struct {
+	Removal api.Received
+	// Due is when the entry counts as gone.
+	Due time.Time
+}
+
 // Member is a member and when its state was learned.
 type Member struct {
 	api.Member
@@ -75,13 +94,17 @@
 	return &State{
 		Self:             self,
 		SuspicionTimeout: suspicionTimeout,
-		InForce:          make(map[string]api.Received),
-		Refused:          make(map[string]api.Received),
-		Members:          map[string]Member{self.Instance.Name: {Member: self, Since: now}},
-		Marks:            make(map[api.LeavingMark]time.Time),
-		Stopped:          make(map[api.Stopped]time.Time),
-		Held:             make(map[string]message.ReplicaHeld),
-		Replicas:         make(map[string]*view.Replica),
+
+		ReadersPerFailureDomain: defaultReaders,
+
+		InForce:  make(map[string]api.Received),
+		Refused:  make(map[string]api.Received),
+		Members:  map[string]Member{self.Instance.Name: {Member: self, Since: now}},
+		Lapsed:   make(map[string]Lapse),
+		Marks:    make(map[api.LeavingMark]time.Time),
+		Stopped:  make(map[api.Stopped]time.Time),
+		Held:     make(map[string]message.ReplicaHeld),
+		Replicas: make(map[string]*view.Replica),
 	}
 }
 
@@ -89,6 +112,9 @@
 func Apply(state *State, news message.Message, now time.Time) Effects {
 	switch news := news.(type) {
 	case message.DocumentReceived:
+		if news.MayHaveLapsed {
+			return holdRemoval(state, news.Received, now)
+		}
 		return applyDocument(state, news.Received)
 	case message.PlatformAnswered:
 		return applyPlatformAnswered(state, news.At)
@@ -127,13 +153,61 @@
 	if received.Refusal != "" {
 		return applyRefused(state, received)
 	}
+	received.Instances = newerInstances(state.InForce[document.Key].Instances, received.Instances)
 	state.InForce[document.Key] = received
+	delete(state.Lapsed, document.Key)
 	if state.Refused[document.Key].Document.Revision < document.Revision {
 		delete(state.Refused, document.Key)
 	}
 	return documentNews(document)
 }
 
+// newerInstances returns next, or the instances known where next names an
+// older incarnation of one of them: a late write of a process that is gone.
+func newerInstances(known, next *api.InstanceList) *api.InstanceList {
+	if known == nil || next == nil {
+		return next
+	}
+	incarnations := make(map[string]uint64, len(known.Instances))
+	for _, instance := range known.Instances {
+		incarnations[instance.Name] = instance.Incarnation
+	}
+	for _, instance := range next.Instances {
+		if instance.Incarnation < incarnations[instance.Name] {
+			return known
+		}
+	}
+	return next
+}
+
+// lapseTime is how long an entry that may have lapsed while the platform was
+// away counts as present; live instances register anew within about two
+// seconds of the platform's return.
+const lapseTime = 2500 * time.Millisecond
+
+// holdRemoval keeps a removal back until the entry has had time to return.
+func holdRemoval(state *State, received api.Received, now time.Time) Effects {
+	document := received.Document
+	if document.Revision <= state.InForce[document.Key].Document.Revision {
+		return Effects{}
+	}
+	if _, isHeld := state.Lapsed[document.Key]; !isHeld {
+		state.Lapsed[document.Key] = Lapse{Removal: received, Due: now.Add(lapseTime)}
+	}
+	return Effects{}
+}
+
+func expireLapsed(state *State, now time.Time) Effects {
+	var effects Effects
+	for key, lapse := range state.Lapsed {
+		if now.After(lapse.Due) {
+			delete(state.Lapsed, key)
+			effects.merge(applyDocument(state, lapse.Removal))
+		}
+	}
+	return effects
+}
+
 func applyRefused(state *State, received api.Received) Effects {
 	document := received.Document
 	if document.Revision <= state.Refused[document.Key].Document.Revision {
@@ -178,6 +252,7 @@
 		return applyPause(state, gap)
 	}
 	effects := expireSuspects(state, now)
+	effects.merge(expireLapsed(state, now))
 	effects.merge(forget(state, now))
 	return effects
 }
--- a/internal/command/peer/joiner.go
+++ b/internal/command/peer/joiner.go
@@ -48,16 +48,22 @@
 	joiner.peers.repair(candidates[rand.N(len(candidates))])
 }
 
-// Candidates returns the peer addresses that are listed or seeds, and belong
-// to no member that is heard.
+// Candidates returns the peer addresses that are listed, seeds, or those of
+// members that failed, and belong to no member that is heard. A failed member
+// may have been cut off, or have started anew without reaching any seed.
 func Candidates(current *view.View, seeds []string) []string {
 	heard := map[string]bool{current.Self.Instance.PeerAddress: true}
+	var candidates []string
 	for _, member := range current.Members {
 		if member.State != api.MemberFailed && member.State != api.MemberLeft {
 			heard[member.Instance.PeerAddress] = true
 		}
 	}
-	var candidates []string
+	for _, member := range current.Members {
+		if member.State == api.MemberFailed && !heard[member.Instance.PeerAddress] {
+			candidates = append(candidates, member.Instance.PeerAddress)
+		}
+	}
 	for _, instance := range current.Listed {
 		if !heard[instance.PeerAddress] {
 			candidates = append(candidates, instance.PeerAddress)
--- a/internal/command/peer/news.go
+++ b/internal/command/peer/news.go
@@ -10,7 +10,6 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
-	"github.com/mimosaspring/mimosaspring/internal/wire/toml"
 )
 
 // takeGossip tells control the members and marks, and reads from the sender
@@ -51,7 +50,7 @@
 // that one in force comes before a newer one that was refused.
 func (peers *Peers) takeDocuments(ctx context.Context, documents []api.Document) {
 	for _, document := range documents {
-		_ = peers.mailbox.Send(ctx, message.DocumentReceived{Received: toml.Parse(document)})
+		_ = peers.mailbox.Send(ctx, message.DocumentReceived{Received: peers.parse(document)})
 	}
 }
 
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -51,20 +51,37 @@
 	// heard holds when each neighbour's last probe or acknowledgement came.
 	heard sync.Map
 	load  func() int
+	parse func(document api.Document) api.Received
+}
+
+// Config is what the part is built from.
+type Config struct {
+	Settings settings.Settings
+	TLS      *tls.Config
+	Control  *control.Control
+	Logger   *zap.Logger
+	// Parse reads and checks a document of the platform.
+	Parse func(document api.Document) api.Received
+	// Load returns the requests that this instance has in flight.
+	Load func() int
+	// Wrap changes the socket; nil leaves it as it is.
+	Wrap quic.Wrap
 }
 
 // Listen opens the part's socket. Messages are served after Start.
-func Listen(all settings.Settings, config *tls.Config, part *control.Control, logger *zap.Logger, load func() int, wrap quic.Wrap) (*Peers, error) {
+func Listen(config Config) (*Peers, error) {
 	peers := &Peers{
-		published: part.Published,
-		mailbox:   part.Mailbox,
-		settings:  all.Peers,
-		seeds:     all.Seeds,
-		logger:    logger,
+		published: config.Control.Published,
+		mailbox:   config.Control.Mailbox,
+		settings:  config.Settings.Peers,
+		seeds:     config.Settings.Seeds,
+		logger:    config.Logger,
+		parse:     config.Parse,
 		news:      mailbox.New[api.Gossip](newsQueueSize),
-		load:      load,
+		load:      config.Load,
 	}
-	endpoint, err := quic.Listen(all.PeerAddress, config, quic.Handler{Call: peers.answer, Datagram: peers.receive}, wrap)
+	handler := quic.Handler{Call: peers.answer, Datagram: peers.receive}
+	endpoint, err := quic.Listen(config.Settings.PeerAddress, config.TLS, handler, config.Wrap)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -234,7 +234,7 @@
 }
 
 // platformStep is the least advance of the platform's age worth a message.
-const platformStep = time.Second
+const platformStep = 250 * time.Millisecond
 
 func (peers *Peers) observePlatform(at, known time.Time) {
 	if at.Sub(known) > platformStep {
--- a/internal/command/upstream/sender.go
+++ b/internal/command/upstream/sender.go
@@ -32,12 +32,12 @@
 type Sender struct {
 	published *view.Published
 	mailbox   *mailbox.Mailbox[message.Message]
-	links     *http.Links
+	links     *http.Links[*http.Link]
 	logger    *zap.Logger
 }
 
 // NewSender returns the sender of an instance.
-func NewSender(part *control.Control, links *http.Links, logger *zap.Logger) *Sender {
+func NewSender(part *control.Control, links *http.Links[*http.Link], logger *zap.Logger) *Sender {
 	return &Sender{published: part.Published, mailbox: part.Mailbox, links: links, logger: logger}
 }
 
--- a/internal/command/upstream/watcher.go
+++ b/internal/command/upstream/watcher.go
@@ -25,12 +25,13 @@
 type Watcher struct {
 	published *view.Published
 	mailbox   *mailbox.Mailbox[message.Message]
-	links     *http.Links
+	links     *http.Links[*http.Link]
+	relays    *http.Links[*http.RelayLink]
 }
 
 // NewWatcher returns the watcher of an instance.
-func NewWatcher(part *control.Control, links *http.Links) *Watcher {
-	return &Watcher{published: part.Published, mailbox: part.Mailbox, links: links}
+func NewWatcher(part *control.Control, links *http.Links[*http.Link], relays *http.Links[*http.RelayLink]) *Watcher {
+	return &Watcher{published: part.Published, mailbox: part.Mailbox, links: links, relays: relays}
 }
 
 // Start starts the watcher; it ends with ctx.
@@ -52,8 +53,10 @@
 func (watcher *Watcher) checkAll(ctx context.Context) {
 	current := watcher.published.Load()
 	watcher.links.Keep(current.Replicas)
+	watcher.relays.Keep(current.Replicas)
 	for _, replica := range current.Replicas {
-		if replica.Traffic.Leaving.Load() || !IsOwner(current, replica.Instance.Name) {
+		isChecked := replica.Upstream.Protocol != api.ProtocolRelay && !replica.Traffic.Leaving.Load()
+		if !isChecked || !IsOwner(current, replica.Instance.Name) {
 			continue
 		}
 		check := &check{watcher: watcher, replica: replica, ctx: ctx}
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -16,11 +16,13 @@
 	commandcaller "github.com/mimosaspring/mimosaspring/internal/command/caller"
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/command/peer"
-	"github.com/mimosaspring/mimosaspring/internal/command/platform"
 	commandupstream "github.com/mimosaspring/mimosaspring/internal/command/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/process/log"
+	"github.com/mimosaspring/mimosaspring/internal/query/caller"
 	"github.com/mimosaspring/mimosaspring/internal/query/operator"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/budget"
+	"github.com/mimosaspring/mimosaspring/internal/state/choice"
 	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/state/settings"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
@@ -46,14 +48,22 @@
 	peers     *peer.Peers
 	home      *commandcaller.Home
 	metrics   *metrics.Metrics
-	links     *wire.Links
+	links     *wire.Links[*wire.Link]
+	relays    *wire.Links[*wire.RelayLink]
+	budget    *budget.Budget
+	adapter   Adapter
 	inFlight  atomic.Int64
 	stopping  atomic.Bool
 	caller    *server
 	operator  *server
+	locator   *server
+	readiness *server
 	cancel    context.CancelFunc
-	wrap      quic.Wrap
-	startedAt time.Time
+	// endRequests ends the requests in flight, which are then answered.
+	endRequests context.CancelCauseFunc
+	requests    context.Context
+	wrap        quic.Wrap
+	startedAt   time.Time
 }
 
 // Option changes how an instance is built.
@@ -75,13 +85,17 @@
 		settings:  settings,
 		loggers:   log.Discard(),
 		metrics:   metrics.New(),
-		links:     &wire.Links{},
+		links:     &wire.Links[*wire.Link]{Open: wire.OpenLink},
+		adapter:   ownAdapter(),
 		startedAt: time.Now(),
 	}
 	for _, option := range options {
 		option(instance)
 	}
+	instance.requests, instance.endRequests = context.WithCancelCause(context.Background())
 	instance.logger = instance.loggers.Part(log.PartProcess)
+	instance.relays = &wire.Links[*wire.RelayLink]{Open: wire.OpenRelayLink(instance.adapter.Names)}
+	instance.budget = budget.New(limitsOf(settings.Retries), instance.fleetSize, view.Since)
 	if err := instance.listen(); err != nil {
 		instance.close()
 		return nil, err
@@ -101,13 +115,18 @@
 		return errors.Wrap(err, "listen for callers")
 	}
 	instance.CallerAddress = instance.caller.address()
-	if instance.settings.OperatorAddress == "" {
-		return nil
+	if instance.locator, err = newOptionalServer(instance.settings.LocatorAddress); err != nil {
+		return errors.Wrap(err, "listen for callers that look for instances")
 	}
-	if instance.operator, err = newServer(instance.settings.OperatorAddress); err != nil {
+	if instance.readiness, err = newOptionalServer(instance.settings.ReadinessAddress); err != nil {
+		return errors.Wrap(err, "listen for readiness checks")
+	}
+	if instance.operator, err = newOptionalServer(instance.settings.OperatorAddress); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
-	instance.OperatorAddress = instance.operator.address()
+	if instance.operator != nil {
+		instance.OperatorAddress = instance.operator.address()
+	}
 	return nil
 }
 
@@ -126,8 +145,17 @@
 	}
 	self := instance.self()
 	state := control.NewState(self, instance.settings.Peers.SuspicionTimeout.Duration, instance.startedAt)
+	state.ReadersPerFailureDomain = instance.settings.Reading.ReadersPerFailureDomain
 	instance.control = control.New(state, instance.loggers.Part(log.PartControl))
-	instance.peers, err = peer.Listen(instance.settings, config, instance.control, instance.loggers.Part(log.PartPeer), instance.load, instance.wrap)
+	instance.peers, err = peer.Listen(peer.Config{
+		Settings: instance.settings,
+		TLS:      config,
+		Control:  instance.control,
+		Logger:   instance.loggers.Part(log.PartPeer),
+		Parse:    instance.adapter.Parse,
+		Load:     instance.load,
+		Wrap:     instance.wrap,
+	})
 	if err != nil {
 		return err
 	}
@@ -167,21 +195,51 @@
 	}
 	instance.control.Start(ctx, control.Peers{Tell: instance.peers.Tell, Refresh: instance.peers.Refresh})
 	instance.peers.Start(ctx, peer.Homes{Run: router.Serve, Keep: home.Keep})
-	platform.NewReader(instance.settings.Platform, instance.control, instance.loggers.Part(log.PartPlatform)).Start(ctx)
-	commandupstream.NewWatcher(instance.control, instance.links).Start(ctx)
-	instance.serve(queries, commandcaller.NewHandler(home, router, instance.metrics))
+	instance.adapter.StartReader(ctx, instance.settings, instance.control, instance.loggers.Part(log.PartPlatform))
+	commandupstream.NewWatcher(instance.control, instance.links, instance.relays).Start(ctx)
+	relay := &relay{
+		names:     instance.adapter.Names,
+		published: instance.control.Published,
+		metrics:   instance.metrics,
+		query:     queries.relay,
+		command:   instance.relayCommands().Serve,
+	}
+	instance.serve(queries, commandcaller.NewHandler(home, router, instance.metrics), relay)
 	return nil
 }
 
 // registrar adds its paths to a router.
 type registrar interface{ Register(mux chi.Router) }
 
-func (instance *Instance) serve(queries, commands registrar) {
-	mux := chi.NewRouter()
-	mux.Use(instance.admit)
-	queries.Register(mux)
-	commands.Register(mux)
-	instance.caller.start(mux)
+// relayCommands builds the way of commands in the callers' own form.
+func (instance *Instance) relayCommands() *commandcaller.Relay {
+	relayer := &commandupstream.Relayer[choice.LeastWait]{
+		Choice:    choice.LeastWait{FailureDomain: instance.settings.FailureDomain},
+		Links:     instance.relays,
+		Published: instance.control.Published,
+		Mailbox:   instance.control.Mailbox,
+		Budget:    instance.budget,
+		Logger:    instance.loggers.Part(log.PartUpstream),
+	}
+	return &commandcaller.Relay{Send: relayer.Send}
+}
+
+// serve starts the listeners. Callers of an adapter speak their own form only;
+// others reach the own interface, and their own form on all other paths.
+func (instance *Instance) serve(queries, commands registrar, relay http.Handler) {
+	if instance.adapter.IsOwn {
+		mux := chi.NewRouter()
+		mux.Use(instance.admit)
+		queries.Register(mux)
+		commands.Register(mux)
+		mux.NotFound(relay.ServeHTTP)
+		mux.MethodNotAllowed(relay.ServeHTTP)
+		instance.caller.start(mux)
+	} else {
+		instance.caller.start(instance.admit(relay))
+	}
+	instance.locator.start(instance.adapter.Locator(instance.locate))
+	instance.readiness.start(instance.adapter.Readiness(instance.isReady))
 	if instance.operator == nil {
 		return
 	}
@@ -195,6 +253,10 @@
 // stopping instance ends each caller's connection after its answer.
 func (instance *Instance) admit(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		ctx, cancel := context.WithCancelCause(request.Context())
+		defer cancel(nil)
+		defer context.AfterFunc(instance.requests, func() { cancel(context.Cause(instance.requests)) })()
+		request = request.WithContext(ctx)
 		inFlight := instance.inFlight.Add(1)
 		defer instance.inFlight.Add(-1)
 		if instance.stopping.Load() {
@@ -208,6 +270,32 @@
 	})
 }
 
+// locate returns the instances that a caller of a failure domain should use.
+func (instance *Instance) locate(failureDomain string) api.Addresses {
+	return caller.LocateNear(instance.View(), failureDomain, instance.settings.Callers.KeepTime.Duration)
+}
+
+// isReady reports whether the instance should get new callers.
+func (instance *Instance) isReady() bool {
+	return !instance.stopping.Load() && instance.View().Routes != nil
+}
+
+// fleetSize returns among how many instances limits are shared: all that are
+// known and have not left on purpose.
+func (instance *Instance) fleetSize() int {
+	count := 0
+	for _, member := range instance.View().Members {
+		if member.State != api.MemberLeft {
+			count++
+		}
+	}
+	return count
+}
+
+func limitsOf(retries settings.Retries) budget.Limits {
+	return budget.Limits{Ratio: retries.Ratio, Slack: retries.Slack, Window: retries.Window.Duration}
+}
+
 // View returns the instance's current View.
 func (instance *Instance) View() *view.View { return instance.control.Published.Load() }
 
@@ -228,9 +316,20 @@
 	return &server{listener: listener, http: &http.Server{ReadHeaderTimeout: readHeaderTimeout}}, nil
 }
 
+// newOptionalServer returns nil for an empty address.
+func newOptionalServer(address string) (*server, error) {
+	if address == "" {
+		return nil, nil
+	}
+	return newServer(address)
+}
+
 func (server *server) address() string { return server.listener.Addr().String() }
 
 func (server *server) start(handler http.Handler) {
+	if server == nil {
+		return
+	}
 	server.http.Handler = handler
 	go server.run()
 }
--- /dev/null
+++ b/internal/process/instance/relay.go
@@ -0,0 +1,99 @@
+package instance
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
+	wire "github.com/mimosaspring/mimosaspring/internal/wire/http"
+)
+
+const (
+	// defaultTimeout bounds a request that names no deadline on a route that
+	// has no timeout. Ten seconds outlasts the longest work of the users.
+	defaultTimeout = 10 * time.Second
+	// answerMargin is what is kept of a caller's deadline for the way of the
+	// answer.
+	answerMargin = 15 * time.Millisecond
+	// coldRetry is when a caller may come back that met an instance without a
+	// configuration.
+	coldRetry = 300 * time.Millisecond
+)
+
+// serveCall answers one call.
+type serveCall func(ctx context.Context, call view.Call) api.Answer
+
+// relay serves requests of the callers' own form: it finds the scope of each
+// by host and path and hands it to the query side or the command side.
+type relay struct {
+	names     *wire.Names
+	published *view.Published
+	metrics   *metrics.Metrics
+	query     serveCall
+	command   serveCall
+}
+
+// ServeHTTP answers one request.
+func (relay *relay) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	start := time.Now()
+	relayed, err := wire.DecodeRelayed(relay.names, request, relay.published.Load().Limits.MaxBodyBytes)
+	if err != nil {
+		refuseInvalid(writer, request, err)
+		return
+	}
+	current := relay.published.Current(request.Context())
+	if current.Routes == nil {
+		wire.RefuseRelayed(writer, http.StatusServiceUnavailable, "no configuration yet", coldRetry)
+		return
+	}
+	target, isKnown := current.Routes.Find(relayed.Host, relayed.Path)
+	if !isKnown {
+		wire.RefuseRelayed(writer, http.StatusNotFound, "no route for "+relayed.Host+relayed.Path, 0)
+		return
+	}
+	scope := current.Scopes[target.Scope]
+	call := view.Call{View: current, Scope: scope, Kind: target.Kind, Relayed: relayed, Start: start}
+	call.Deadline = start.Add(timeLeft(scope.Scope, relayed))
+	answer := relay.answer(request.Context(), call)
+	label := scope.Scope.Tenant + "." + scope.Scope.Class
+	relay.metrics.Observe(label, "relayed", string(answer.Outcome), time.Since(start))
+	wire.WriteRelayed(relay.names, writer, answer)
+}
+
+func (relay *relay) answer(ctx context.Context, call view.Call) api.Answer {
+	if call.Scope.Scope.Command {
+		return relay.command(ctx, call)
+	}
+	return relay.query(ctx, call)
+}
+
+// timeLeft returns how long a request may take: what its caller waits, within
+// the scope's timeout.
+func timeLeft(scope api.Scope, relayed *api.Relayed) time.Duration {
+	left := defaultTimeout
+	if scope.Timeout.Duration > 0 {
+		left = scope.Timeout.Duration
+	}
+	if relayed.Deadline > 0 {
+		left = min(left, relayed.Deadline-answerMargin)
+	}
+	return left
+}
+
+func refuseInvalid(writer http.ResponseWriter, request *http.Request, err error) {
+	var tooLarge *wire.TooLargeError
+	var invalid *api.InvalidError
+	switch {
+	case errors.As(err, &tooLarge):
+		wire.RefuseRelayed(writer, http.StatusRequestEntityTooLarge, err.Error(), 0)
+	case errors.As(err, &invalid):
+		wire.RefuseRelayed(writer, http.StatusBadRequest, err.Error(), 0)
+	case request.Context().Err() == nil:
+		wire.RefuseRelayed(writer, http.StatusBadRequest, "the body could not be read", 0)
+	}
+}
--- a/internal/process/instance/stop.go
+++ b/internal/process/instance/stop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
@@ -21,19 +22,19 @@
 )
 
 // Stop shuts the instance down without cutting a request: it leaves the
-// addresses, serves through the callers' keep time, finishes what is in
-// flight and hands its command outcomes over. When ctx ends it stops at once.
+// addresses, serves the callers that still hold its own, finishes what is in
+// flight and hands its command outcomes over. Requests that outlast the drain
+// timeout are answered as they stand. When ctx ends it stops at once.
 func (instance *Instance) Stop(ctx context.Context) {
 	instance.stopping.Store(true)
 	instance.logger.Info("instance is leaving")
 	_ = instance.control.Mailbox.Send(ctx, message.Stopping{})
-	wait(ctx, instance.settings.Callers.KeepTime.Duration)
-	drain, cancel := context.WithTimeout(ctx, instance.settings.Stop.DrainTimeout.Duration)
-	defer cancel()
-	if err := instance.caller.http.Shutdown(drain); err != nil {
-		instance.logger.Warn("requests cut", zap.Int64("count", instance.inFlight.Load()))
+	leaveTime := instance.settings.Stop.LeaveTime.Duration
+	if leaveTime == 0 {
+		leaveTime = instance.settings.Callers.KeepTime.Duration
 	}
-	instance.home.Close(drain)
+	wait(ctx, leaveTime)
+	instance.drain(ctx)
 	heir := instance.handover()
 	_ = instance.control.Mailbox.Send(context.Background(), message.Stopped{Heir: heir})
 	wait(ctx, farewell)
@@ -41,6 +42,28 @@
 	instance.logger.Info("instance stopped")
 }
 
+// drain finishes the requests in flight within the drain timeout.
+func (instance *Instance) drain(ctx context.Context) {
+	drain, cancel := context.WithTimeout(ctx, instance.settings.Stop.DrainTimeout.Duration)
+	defer cancel()
+	if err := instance.caller.http.Shutdown(drain); err != nil {
+		instance.logger.Warn("requests answered before their end", zap.Int64("count", instance.inFlight.Load()))
+		instance.endRequests(errStopping)
+		final, cancel := context.WithTimeout(ctx, finalTime)
+		defer cancel()
+		if err := instance.caller.http.Shutdown(final); err != nil {
+			instance.logger.Warn("requests cut", zap.Int64("count", instance.inFlight.Load()), zap.Error(err))
+		}
+	}
+	instance.home.Close(drain)
+}
+
+// finalTime is how long answers may take to be written once their requests
+// were ended.
+const finalTime = 300 * time.Millisecond
+
+var errStopping = errors.New("the instance stops")
+
 // Kill ends the instance at once, as a crash would.
 func (instance *Instance) Kill() { instance.close() }
 
@@ -48,7 +71,7 @@
 	if instance.cancel != nil {
 		instance.cancel()
 	}
-	for _, server := range []*server{instance.caller, instance.operator} {
+	for _, server := range []*server{instance.caller, instance.locator, instance.readiness, instance.operator} {
 		if server != nil {
 			_ = server.http.Close()
 			_ = server.listener.Close()
@@ -71,6 +94,10 @@
 // handover passes the outcomes to the first heir that takes them and returns
 // its name; empty where none did.
 func (instance *Instance) handover() string {
+	if !instance.adapter.IsOwn {
+		// Callers of an adapter hold no keys.
+		return ""
+	}
 	handover := instance.home.Handover(time.Now())
 	for _, heir := range Heirs(instance.View()) {
 		ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
--- a/internal/query/caller/locate.go
+++ b/internal/query/caller/locate.go
@@ -12,13 +12,33 @@
 
 const (
 	// maxAddresses is how many instances one answer names.
-	maxAddresses = 8
+	maxAddresses = 32
 	// fullWeight is the weight of an instance without load.
 	fullWeight = 100
 	// jitter is the part of the keep time that varies, as one in so many.
 	jitter = 4
 )
 
+// leastNear is from how many instances of a caller's own failure domain the
+// others are left out: with fewer, the loss of one would turn callers away.
+const leastNear = 2
+
+// LocateNear returns the instances that a caller of a failure domain should
+// use: those of its own domain where there are enough, and otherwise all.
+func LocateNear(current *view.View, failureDomain string, keepTime time.Duration) api.Addresses {
+	addresses := Locate(current, keepTime)
+	near := make([]api.Address, 0, len(addresses.Instances))
+	for _, address := range addresses.Instances {
+		if address.FailureDomain == failureDomain {
+			near = append(near, address)
+		}
+	}
+	if len(near) >= leastNear {
+		addresses.Instances = near
+	}
+	return addresses
+}
+
 // Locate returns the instances that a caller should use: alive ones, from
 // each failure domain in turn, weighted by their load. The keep time varies,
 // so that callers do not ask all at once.
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -7,66 +7,87 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
+	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
 
 // attemptResult is what one attempt brought.
 type attemptResult struct {
 	part   api.Part
 	reason api.MissingReason
-	newer  newer
+	// isNotRun is set where the attempt is proved not to have run.
+	isNotRun bool
+	newer    newer
 }
 
 // attempt is one request to one replica.
-type attempt[C Choice, H Hedge] struct {
-	fetch   *fetch[C, H]
+type attempt[C Choice, H Hedge, L Link] struct {
+	fetch   *fetch[C, H, L]
 	ctx     context.Context
 	replica *view.Replica
 }
 
-func (attempt *attempt[C, H]) run() { attempt.fetch.attempts <- attempt.send() }
+func (attempt *attempt[C, H, L]) run() { attempt.fetch.attempts <- attempt.send() }
 
 // send sends the attempt, unless its replica began to leave since it was
 // chosen. It waits first where this process was paused.
-func (attempt *attempt[C, H]) send() attemptResult {
-	fetch := attempt.fetch
-	fanout := fetch.fanout
-	fanout.Published.Current(attempt.ctx)
+func (attempt *attempt[C, H, L]) send() attemptResult {
+	pass := attempt.fetch.pass
+	pass.fanout.Published.Current(attempt.ctx)
 	traffic := attempt.replica.Traffic
 	if traffic.Leaving.Load() || attempt.ctx.Err() != nil {
-		return attemptResult{reason: api.MissingRefused}
+		return attemptResult{reason: api.MissingRefused, isNotRun: true}
 	}
-	link := fanout.Links.Get(attempt.replica, len(fetch.request.View.Members))
-	fetch.sent.Add(1)
-	traffic.InFlight.Add(1)
-	start := view.Since()
-	after := silenceOf(attempt.replica)
-	watch := &silenceWatch{ctx: attempt.ctx, link: link, replica: attempt.replica, start: start, after: after, silent: fetch.silent}
-	timer := time.AfterFunc(after, watch.run)
+	link := pass.fanout.Links.Get(attempt.replica, len(pass.request.View.Members))
+	pass.sent.Add(1)
+	pass.unproved.Add(1)
+	start := traffic.Begin()
+	watch := attempt.watch(link, start)
 	reply, err := link.Send(attempt.ctx, attempt.message())
-	timer.Stop()
+	if watch != nil {
+		watch.Stop()
+	}
+	traffic.End()
 	latency := view.Since() - start
-	traffic.InFlight.Add(-1)
 	if err != nil {
-		return attempt.judgeError(latency)
+		return attempt.judgeError(err, latency)
 	}
 	attempt.observe(reply)
 	return attempt.judgeReply(reply, latency)
 }
 
-func (attempt *attempt[C, H]) message() api.Attempt {
+// watch starts the check for a silent connection where the link's connection
+// can be checked beside an attempt.
+func (attempt *attempt[C, H, L]) watch(link L, start time.Duration) *time.Timer {
+	checked := link.Checked()
+	if checked == nil {
+		return nil
+	}
+	after := silenceOf(attempt.replica)
+	watch := &silenceWatch{ctx: attempt.ctx, link: checked, replica: attempt.replica, start: start, after: after, silent: attempt.fetch.silent}
+	return time.AfterFunc(after, watch.run)
+}
+
+func (attempt *attempt[C, H, L]) message() api.Attempt {
 	fetch := attempt.fetch
-	return api.Attempt{
-		Identity: strconv.FormatUint(rand.Uint64(), 36),
+	message := api.Attempt{
 		Shard:    fetch.shard.Name,
-		Kind:     fetch.request.Query.Kind,
-		Snapshot: fetch.pin.Snapshot,
+		Kind:     fetch.pass.request.Query.Kind,
+		Snapshot: fetch.pass.pin.Snapshot,
 		Epoch:    fetch.shard.Epoch,
-		Timeout:  time.Until(fetch.request.Deadline),
-		Body:     fetch.body,
+		Timeout:  time.Until(fetch.pass.request.Deadline),
+		Body:     fetch.pass.body,
+		Relayed:  fetch.pass.request.Relayed,
+		Replica:  attempt.replica.Instance.Name,
 	}
+	if message.Relayed == nil {
+		message.Identity = strconv.FormatUint(rand.Uint64(), 36)
+	}
+	return message
 }
 
 // Times and counts after which a failing replica is set aside.
@@ -75,50 +96,76 @@
 	setAsideTime       = time.Second
 )
 
-func (attempt *attempt[C, H]) judgeError(latency time.Duration) attemptResult {
+func (attempt *attempt[C, H, L]) judgeError(err error, latency time.Duration) attemptResult {
 	traffic := attempt.replica.Traffic
+	var senderror *http.SendError
+	isNotRun := errors.As(err, &senderror) && !senderror.MayHaveRun
+	if isNotRun {
+		attempt.fetch.pass.unproved.Add(-1)
+	}
 	if attempt.ctx.Err() != nil {
 		traffic.ObserveCancelled(latency)
-		return attemptResult{reason: api.MissingDeadline}
+		return attemptResult{reason: api.MissingDeadline, isNotRun: isNotRun}
 	}
+	traffic.ObserveOutcome(false)
 	if traffic.Failures.Add(1) >= failuresToSetAside {
 		traffic.FailedUntil.Store(int64(view.Since() + setAsideTime))
 	}
-	return attemptResult{reason: api.MissingFailed}
+	return attemptResult{reason: api.MissingFailed, isNotRun: isNotRun}
 }
 
 // observe tells control what the reply says of its replica.
-func (attempt *attempt[C, H]) observe(reply api.Reply) {
+func (attempt *attempt[C, H, L]) observe(reply api.Reply) {
 	replica := attempt.replica
-	mailbox := attempt.fetch.fanout.Mailbox
-	replica.Traffic.ReportedLoad.Store(int64(reply.Load))
-	replica.Traffic.ReportedAt.Store(int64(view.Since()))
-	if reply.Leaving {
+	mailbox := attempt.fetch.pass.fanout.Mailbox
+	if reply.IsLoadKnown {
+		replica.Traffic.ReportedLoad.Store(int64(reply.Load))
+		replica.Traffic.ReportedAt.Store(int64(view.Since()))
+	}
+	if reply.Leaving || reply.Status == api.ReplyElsewhere {
 		message.ReportLeaving(mailbox, replica)
 	}
 	message.ReportHeld(mailbox, replica, reply.Held)
 }
 
-func (attempt *attempt[C, H]) judgeReply(reply api.Reply, latency time.Duration) attemptResult {
+func (attempt *attempt[C, H, L]) judgeReply(reply api.Reply, latency time.Duration) attemptResult {
 	fetch := attempt.fetch
+	traffic := attempt.replica.Traffic
+	if reply.Status.IsNotRun() {
+		fetch.pass.unproved.Add(-1)
+	}
+	traffic.ObserveOutcome(reply.Status == api.ReplyDone)
 	switch reply.Status {
 	case api.ReplyDone:
-		part := api.Part{Shard: fetch.shard.Name, Snapshot: reply.Snapshot, Epoch: reply.Epoch, Body: reply.Body}
-		if fetch.pin.Check(part) != nil {
-			fetch.fanout.Metrics.Add("parts.foreign", 1)
-			return attemptResult{reason: api.MissingFailed}
-		}
-		attempt.replica.Traffic.Failures.Store(0)
-		attempt.replica.Traffic.ObserveLatency(latency)
-		return attemptResult{part: part}
+		return attempt.take(reply, latency)
 	case api.ReplySnapshotGone:
-		return attemptResult{reason: api.MissingSnapshotGone, newer: newerThan(fetch.pin.Snapshot, reply.Held)}
+		return attemptResult{reason: api.MissingSnapshotGone, isNotRun: true, newer: newerThan(fetch.pass.pin.Snapshot, reply.Held)}
 	case api.ReplyMoved:
-		return attemptResult{reason: api.MissingMoved, newer: fetch.movedEpoch()}
+		return attemptResult{reason: api.MissingMoved, isNotRun: true, newer: fetch.movedEpoch()}
 	case api.ReplyFailed:
+		part := api.Part{Shard: fetch.shard.Name, Signature: reply.Signature, Response: reply.Response}
+		return attemptResult{reason: api.MissingFailed, part: part}
+	}
+	return attemptResult{reason: api.MissingRefused, isNotRun: true}
+}
+
+func (attempt *attempt[C, H, L]) take(reply api.Reply, latency time.Duration) attemptResult {
+	fetch := attempt.fetch
+	part := api.Part{
+		Shard:     fetch.shard.Name,
+		Snapshot:  reply.Snapshot,
+		Epoch:     reply.Epoch,
+		Body:      reply.Body,
+		Signature: reply.Signature,
+		Response:  reply.Response,
+	}
+	if fetch.pass.pin.Check(part) != nil {
+		fetch.pass.fanout.Metrics.Add("parts.foreign", 1)
 		return attemptResult{reason: api.MissingFailed}
 	}
-	return attemptResult{reason: api.MissingRefused}
+	attempt.replica.Traffic.Failures.Store(0)
+	attempt.replica.Traffic.ObserveLatency(latency)
+	return attemptResult{part: part}
 }
 
 // newerThan names the newest snapshot that a replica holds, if it is beyond
@@ -132,8 +179,8 @@
 
 // movedEpoch asks for a restart where a newer View has another epoch of the
 // shard, or none.
-func (fetch *fetch[C, H]) movedEpoch() newer {
-	index := fetch.fanout.Published.Load().Indexes[fetch.request.Scope.Index]
+func (fetch *fetch[C, H, L]) movedEpoch() newer {
+	index := fetch.pass.fanout.Published.Load().Indexes[fetch.pass.request.Scope.Index]
 	for _, shard := range index.Shards {
 		if shard.Name == fetch.shard.Name {
 			return newer{isSet: shard.Epoch != fetch.shard.Epoch}
--- a/internal/query/upstream/fetch.go
+++ b/internal/query/upstream/fetch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
@@ -19,6 +18,13 @@
 	mostShedPause = 32 * time.Millisecond
 )
 
+// Parts of the retry budget, 0 to 1, that the kinds of extra requests may
+// use. Hedges leave a reserve for attempts that failed.
+const (
+	hedgePart = 0.7
+	retryPart = 1
+)
+
 // shardResult is what one shard adds to an answer: a part, or the reason for
 // which it is missing.
 type shardResult struct {
@@ -29,15 +35,10 @@
 }
 
 // fetch asks one shard in one pass.
-type fetch[C Choice, H Hedge] struct {
-	fanout  *Fanout[C, H]
-	ctx     context.Context
-	request Request
-	shard   view.Shard
-	pin     Pin
-	body    []byte
-	sent    *atomic.Int64
-	results chan<- shardResult
+type fetch[C Choice, H Hedge, L Link] struct {
+	pass  *pass[C, H, L]
+	ctx   context.Context
+	shard view.Shard
 
 	attempts chan attemptResult
 	// silent names replicas whose connection was silent and is renewed.
@@ -51,23 +52,27 @@
 	tried   []string
 	pending int
 	started int
+	// counted is how many of the attempts count against the scope's most:
+	// those that are not proved not to have run.
+	counted int
 	rounds  int
-	worst   api.MissingReason
-	newer   newer
+	worst   attemptResult
 }
 
 // run asks replicas until one answers, none is left or the time is up.
-func (fetch *fetch[C, H]) run() {
-	ctx, cancel := context.WithCancel(fetch.ctx)
-	defer cancel()
+func (fetch *fetch[C, H, L]) run() {
+	ctx, cancel := context.WithCancelCause(fetch.ctx)
+	defer cancel(api.ErrAnswered)
 	fetch.attempts = make(chan attemptResult, maxAttempts)
 	fetch.silent = make(chan *view.Replica, maxAttempts)
-	fetch.worst = api.MissingNoReplica
+	fetch.worst.reason = api.MissingNoReplica
+	fanout := fetch.pass.fanout
+	fanout.Budget.First(fetch.shard.Upstream.Name)
 	if !fetch.start(ctx) {
 		fetch.miss()
 		return
 	}
-	fetch.fanout.Hedge.First()
+	fanout.Hedge.First()
 	fetch.armHedge()
 	defer fetch.hedging.Stop()
 	fetch.again = stoppedTimer()
@@ -76,7 +81,7 @@
 }
 
 // loop takes the attempts' results and starts more attempts as needed.
-func (fetch *fetch[C, H]) loop(ctx context.Context) {
+func (fetch *fetch[C, H, L]) loop(ctx context.Context) {
 	isWaiting := false
 	for fetch.pending > 0 || isWaiting {
 		select {
@@ -91,7 +96,7 @@
 		case <-fetch.again.C:
 			isWaiting = false
 			fetch.tried = nil
-			fetch.start(ctx)
+			fetch.startAgain(ctx)
 		case <-fetch.hedging.C:
 			fetch.hedge(ctx)
 		case <-ctx.Done():
@@ -109,29 +114,49 @@
 
 // accept passes on the part of an answered attempt. It reports false where
 // the attempt brought none.
-func (fetch *fetch[C, H]) accept(result attemptResult) bool {
+func (fetch *fetch[C, H, L]) accept(result attemptResult) bool {
 	if result.reason == "" {
-		fetch.results <- shardResult{shard: fetch.shard.Name, part: result.part}
+		fetch.pass.results <- shardResult{shard: fetch.shard.Name, part: result.part}
 		return true
 	}
-	fetch.worst = result.reason
-	if result.newer.isSet {
-		fetch.newer = result.newer
+	if result.isNotRun {
+		fetch.counted--
+	}
+	if !result.newer.isSet {
+		result.newer = fetch.worst.newer
+	}
+	if result.part.Response == nil {
+		result.part = fetch.worst.part
 	}
+	fetch.worst = result
 	return false
 }
 
-func (fetch *fetch[C, H]) miss() {
-	fetch.results <- shardResult{shard: fetch.shard.Name, reason: fetch.worst, newer: fetch.newer}
+func (fetch *fetch[C, H, L]) miss() {
+	result := shardResult{shard: fetch.shard.Name, reason: fetch.worst.reason, newer: fetch.worst.newer}
+	if fetch.pass.request.Scope.Form == api.FormRelayed {
+		// The replica's own failure is the answer.
+		result.part = fetch.worst.part
+	}
+	fetch.pass.results <- result
+}
+
+// mayStart reports whether the shard may be sent one more attempt.
+func (fetch *fetch[C, H, L]) mayStart() bool {
+	most := maxAttempts
+	if scope := fetch.pass.request.Scope; scope.MaxAttempts > 0 {
+		most = scope.MaxAttempts
+	}
+	return fetch.started < maxAttempts && fetch.counted < most
 }
 
 // retry starts another attempt after one that brought no part. Where every
 // replica refused it reports true and asks them again after a pause.
-func (fetch *fetch[C, H]) retry(ctx context.Context) bool {
-	if fetch.started >= maxAttempts {
+func (fetch *fetch[C, H, L]) retry(ctx context.Context) bool {
+	if !fetch.mayStart() {
 		return false
 	}
-	if fetch.start(ctx) || fetch.pending > 0 || fetch.worst != api.MissingRefused {
+	if fetch.startAgain(ctx) || fetch.pending > 0 || fetch.worst.reason != api.MissingRefused {
 		return false
 	}
 	fetch.again.Reset(min(shedPause<<fetch.rounds, mostShedPause))
@@ -139,34 +164,50 @@
 	return true
 }
 
+// startAgain starts an attempt beyond the first, where the budget allows.
+func (fetch *fetch[C, H, L]) startAgain(ctx context.Context) bool {
+	if !fetch.mayStart() || len(fetch.usable()) == 0 {
+		return false
+	}
+	if !fetch.pass.fanout.Budget.Allow(fetch.shard.Upstream.Name, retryPart) {
+		fetch.pass.fanout.Metrics.Add("attempts.overBudget", 1)
+		return false
+	}
+	return fetch.start(ctx)
+}
+
 // hedge sends a second attempt to another replica, where the budget allows.
 // Where it does not, the hedge comes once more after twice the delay.
-func (fetch *fetch[C, H]) hedge(ctx context.Context) {
+func (fetch *fetch[C, H, L]) hedge(ctx context.Context) {
 	replicas := fetch.usable()
-	if fetch.started >= maxAttempts || len(replicas) == 0 {
+	if !fetch.mayStart() || len(replicas) == 0 {
 		return
 	}
-	replica := fetch.fanout.Choice.Choose(replicas)
-	if !fetch.fanout.Hedge.Allow(replica, fetch.isLate) {
+	fanout := fetch.pass.fanout
+	replica := fanout.Choice.Choose(replicas)
+	isAllowed := fanout.Hedge.Allow(replica, fetch.isLate) && fanout.Budget.Allow(fetch.shard.Upstream.Name, hedgePart)
+	if !isAllowed {
 		fetch.hedgeLater()
 		return
 	}
-	fetch.fanout.Metrics.Add("attempts.hedged", 1)
+	fanout.Metrics.Add("attempts.hedged", 1)
 	fetch.tried = append(fetch.tried, replica.Instance.Name)
 	fetch.send(ctx, replica)
 }
 
-func (fetch *fetch[C, H]) hedgeLater() {
-	if !fetch.isLate {
-		fetch.isLate = true
-		fetch.hedging.Reset(fetch.hedgeAfter)
+// hedgeLater puts the second attempt off once.
+func (fetch *fetch[C, H, L]) hedgeLater() {
+	if fetch.isLate {
+		return
 	}
+	fetch.isLate = true
+	fetch.hedging.Reset(fetch.hedgeAfter)
 }
 
 // armHedge starts the timer of the second attempt.
-func (fetch *fetch[C, H]) armHedge() {
+func (fetch *fetch[C, H, L]) armHedge() {
 	fetch.hedging = stoppedTimer()
-	after, isSet := fetch.fanout.Hedge.After(fetch.shard, len(fetch.pin.Epochs))
+	after, isSet := fetch.pass.fanout.Hedge.After(&fetch.pass.request, fetch.shard)
 	if isSet {
 		fetch.hedgeAfter = after
 		fetch.hedging.Reset(after)
@@ -175,30 +216,31 @@
 
 // start starts an attempt on a replica that was not tried. It reports false
 // where there is none.
-func (fetch *fetch[C, H]) start(ctx context.Context) bool {
+func (fetch *fetch[C, H, L]) start(ctx context.Context) bool {
 	replicas := fetch.usable()
 	if len(replicas) == 0 {
 		return false
 	}
-	replica := fetch.fanout.Choice.Choose(replicas)
+	replica := fetch.pass.fanout.Choice.Choose(replicas)
 	fetch.tried = append(fetch.tried, replica.Instance.Name)
 	fetch.send(ctx, replica)
 	return true
 }
 
-func (fetch *fetch[C, H]) send(ctx context.Context, replica *view.Replica) {
+func (fetch *fetch[C, H, L]) send(ctx context.Context, replica *view.Replica) {
 	if fetch.started >= maxAttempts {
 		return
 	}
 	fetch.pending++
 	fetch.started++
-	attempt := &attempt[C, H]{fetch: fetch, ctx: ctx, replica: replica}
+	fetch.counted++
+	attempt := &attempt[C, H, L]{fetch: fetch, ctx: ctx, replica: replica}
 	go attempt.run()
 }
 
 // usable returns the replicas that were not tried and are not leaving. It
 // leaves out those set aside for failures unless there is no other.
-func (fetch *fetch[C, H]) usable() []*view.Replica {
+func (fetch *fetch[C, H, L]) usable() []*view.Replica {
 	var healthy, failing []*view.Replica
 	now := view.Since()
 	for _, replica := range fetch.shard.Replicas {
--- a/internal/query/upstream/gather.go
+++ b/internal/query/upstream/gather.go
@@ -14,6 +14,8 @@
 
 // Pin fixes what the parts of one answer must agree on.
 type Pin struct {
+	// Form says what the parts consist of.
+	Form     api.Form
 	Snapshot uint64
 	// Epochs holds the epoch of every selected shard.
 	Epochs map[string]uint64
@@ -54,7 +56,8 @@
 	if !isSelected || part.Snapshot != pin.Snapshot || part.Epoch != epoch {
 		return errors.WithStack(ErrForeignPart)
 	}
-	if !json.Valid(part.Body) {
+	isJSON := pin.Form != api.FormMerged && pin.Form != api.FormRelayed
+	if isJSON && !json.Valid(part.Body) {
 		return errors.WithStack(ErrForeignPart)
 	}
 	return nil
@@ -68,6 +71,11 @@
 	return len(gather.parts)+len(gather.missing) >= len(gather.pin.Epochs)
 }
 
+// Share returns the share of the selected shards that have a part.
+func (gather *Gather) Share() float64 {
+	return float64(len(gather.parts)) / float64(max(len(gather.pin.Epochs), 1))
+}
+
 // Coverage states which of the selected shards have a part.
 func (gather *Gather) Coverage() api.Coverage {
 	coverage := api.Coverage{Selected: len(gather.pin.Epochs), Included: len(gather.parts)}
--- a/internal/query/upstream/hedge.go
+++ b/internal/query/upstream/hedge.go
@@ -42,9 +42,9 @@
 }
 
 // After returns the delay of a second attempt.
-func (percentilehedge *PercentileHedge) After(shard view.Shard, shards int) (time.Duration, bool) {
+func (percentilehedge *PercentileHedge) After(request *Request, shard view.Shard) (time.Duration, bool) {
 	fastest := time.Duration(math.MaxInt64)
-	sigmas := Sigmas(shards)
+	sigmas := Sigmas(len(request.Selection.Shards))
 	for _, replica := range shard.Replicas {
 		mean := replica.Traffic.Latency.Load()
 		if mean == 0 {
--- a/internal/query/upstream/policy.go
+++ b/internal/query/upstream/policy.go
@@ -1,23 +1,36 @@
 package upstream
 
 import (
-	"math/rand/v2"
+	"context"
 	"time"
 
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/choice"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
+	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
 
-// Choice picks the replica of a shard's next attempt. The replicas are never
-// empty.
-type Choice interface {
-	Choose(replicas []*view.Replica) *view.Replica
+// Choice picks the replica of a shard's next attempt.
+type Choice = choice.Choice
+
+// Link carries attempts to one replica.
+type Link interface {
+	// Send sends one attempt and reads the whole reply. The error is a
+	// *http.SendError.
+	Send(ctx context.Context, attempt api.Attempt) (api.Reply, error)
+	// Checked returns the link whose connection can be checked while an
+	// attempt waits on it; nil where a connection carries one request at a
+	// time.
+	Checked() *http.Link
+	// Close ends the connections.
+	Close()
 }
 
 // Hedge decides when a second attempt joins one that has no answer yet.
 type Hedge interface {
-	// After returns the delay of the second attempt of one shard in a query
-	// of so many shards, and false where there shall be none.
-	After(shard view.Shard, shards int) (time.Duration, bool)
+	// After returns the delay of the second attempt of one shard of a query,
+	// and false where there shall be none.
+	After(request *Request, shard view.Shard) (time.Duration, bool)
 	// Allow takes one second attempt to replica from the budget. A late one
 	// has waited twice the delay and may use what is kept in reserve.
 	Allow(replica *view.Replica, isLate bool) bool
@@ -25,19 +38,11 @@
 	First()
 }
 
-// RandomChoice picks any replica. It is the baseline of Choice.
-type RandomChoice struct{}
-
-// Choose picks any replica.
-func (RandomChoice) Choose(replicas []*view.Replica) *view.Replica {
-	return replicas[rand.N(len(replicas))]
-}
-
 // NoHedge sends no second attempt. It is the baseline of Hedge.
 type NoHedge struct{}
 
 // After returns false.
-func (NoHedge) After(view.Shard, int) (time.Duration, bool) { return 0, false }
+func (NoHedge) After(*Request, view.Shard) (time.Duration, bool) { return 0, false }
 
 // Allow returns false.
 func (NoHedge) Allow(*view.Replica, bool) bool { return false }
--- a/internal/state/api/caller.go
+++ b/internal/state/api/caller.go
@@ -85,6 +85,10 @@
 	Snapshot uint64          `json:"-"`
 	Epoch    uint64          `json:"-"`
 	Body     json.RawMessage `json:"body"`
+	// Signature proves which replica gave the part.
+	Signature string `json:"-"`
+	// Response is the answer that a relayed part stands for.
+	Response *Response `json:"-"`
 }
 
 // Answer is the reply to a query.
@@ -94,8 +98,18 @@
 	Snapshot uint64   `json:"snapshot"`
 	Coverage Coverage `json:"coverage"`
 	Parts    []Part   `json:"parts,omitempty"`
+	// Records holds the greatest records of a merged answer, greatest first.
+	Records []byte `json:"records,omitempty"`
+	// Signatures holds those of the parts that Records was merged from.
+	Signatures []string `json:"signatures,omitempty"`
+	// Response is the replica's answer to a relayed request.
+	Response *Response `json:"-"`
 	// SentRequests is how many requests the query sent to replicas.
 	SentRequests int `json:"sentRequests"`
+	// IsNotRun is set where every attempt is proved not to have run.
+	IsNotRun bool `json:"-"`
+	// IsLate is set where the deadline ended the request.
+	IsLate bool `json:"-"`
 	// RetryAfter is set on refusals.
 	RetryAfter time.Duration `json:"-"`
 }
--- a/internal/state/api/document.go
+++ b/internal/state/api/document.go
@@ -3,6 +3,12 @@
 // encoding.
 package api
 
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
 // Prefixes of the keys that the platform's configuration service publishes.
 const (
 	IndexPrefix     = "index/"
@@ -31,6 +37,12 @@
 	Upstreams *Upstreams
 	Scope     *Scope
 	Instances *InstanceList
+	// Scopes holds the scopes of a document that publishes several at once.
+	Scopes []Scope
+	// Limits bounds what callers may send; nil where the document sets none.
+	Limits *CallerLimits
+	// Ignored says why a document that is in force names nothing to use.
+	Ignored string
 	// Refusal says why the document was refused; empty when it is valid.
 	Refusal string
 }
@@ -49,6 +61,26 @@
 	Keys     []KeyRevision `json:"keys"`
 }
 
+// ErrHistoryGone reports that a store no longer holds the changes after a
+// revision.
+var ErrHistoryGone = errors.New("the store's history does not reach back so far")
+
+// Changes is what a store answers to one call: documents as of a revision.
+type Changes struct {
+	// Revision is the store's revision at the time of the answer.
+	Revision  uint64
+	Documents []Document
+	// IsWhole is set where Documents holds every key, so that a key that is
+	// not among them was removed.
+	IsWhole bool
+}
+
+// CallerLimits bounds what a caller may send on a connection.
+type CallerLimits struct {
+	// MaxBodyBytes is the largest body of one request.
+	MaxBodyBytes int64
+}
+
 // Index is the document under IndexPrefix: the shards of one index.
 type Index struct {
 	Name string `toml:"name"`
@@ -79,7 +111,7 @@
 	Slots int `toml:"slots"`
 	// ConnectionLimit is how many connections a replica accepts.
 	ConnectionLimit int `toml:"connectionLimit"`
-	// Protocol is "http2" (the default) or "http1".
+	// Protocol is "http2" (the default), "http1" or "relay".
 	Protocol string `toml:"protocol"`
 }
 
@@ -104,6 +136,54 @@
 	// Priority orders classes under overload; lower ones are shed first.
 	Priority  int        `toml:"priority"`
 	Selectors []Selector `toml:"selectors"`
+	// Form says what an answer consists of; empty means FormParts.
+	Form Form `toml:"form"`
+	// TopK is how many of the greatest records a merged answer holds.
+	TopK int `toml:"topK"`
+	// Split lists the upstreams among which FormRelayed distributes requests.
+	Split []Share `toml:"split"`
+	// Command marks a relayed scope whose requests are non-idempotent.
+	Command bool `toml:"command"`
+	// MaxAttempts is to how many replicas of a shard one request may go; 0
+	// leaves it to the query path.
+	MaxAttempts int `toml:"maxAttempts"`
+	// Timeout is how long a caller may be kept waiting; 0 leaves it to the
+	// caller's own deadline.
+	Timeout Duration `toml:"timeout"`
+	// TargetLatency is when an answer is worth most to the caller; 0 where the
+	// scope has no such time.
+	TargetLatency Duration `toml:"targetLatency"`
+	// Routes lists where callers reach the scope with requests of their own
+	// form.
+	Routes []Route `toml:"routes"`
+}
+
+// Form says what the answer of a scope consists of.
+type Form string
+
+// The forms of an answer.
+const (
+	// FormParts returns each shard's part as it is.
+	FormParts Form = "parts"
+	// FormMerged returns the greatest records of all parts.
+	FormMerged Form = "merged"
+	// FormRelayed passes a request whole to one replica and its answer back.
+	FormRelayed Form = "relayed"
+)
+
+// Share is one upstream's part of a split scope.
+type Share struct {
+	Upstream string  `toml:"upstream"`
+	Weight   float64 `toml:"weight"`
+}
+
+// Route is a host and a path prefix under which callers reach a scope.
+type Route struct {
+	Host string `toml:"host"`
+	// Prefix begins and ends with a slash.
+	Prefix string `toml:"prefix"`
+	// Kind is the kind that requests under the route have.
+	Kind string `toml:"kind"`
 }
 
 // Selector says which labelled shards a request of one kind covers.
@@ -147,4 +227,10 @@
 	State         InstanceState `toml:"state" cbor:"6,keyasint" json:"state"`
 	// Incarnation rises when a new process takes the instance's name.
 	Incarnation uint64 `toml:"incarnation" cbor:"7,keyasint" json:"incarnation"`
+	// Slots is how many requests the instance runs at once; 0 leaves it to its
+	// upstream.
+	Slots int `toml:"slots,omitempty" cbor:"-" json:"slots,omitempty"`
+	// ColdLeft is how much longer the instance was slow after its start when
+	// the entry was written.
+	ColdLeft time.Duration `toml:"-" cbor:"-" json:"-"`
 }
--- /dev/null
+++ b/internal/state/api/duration.go
@@ -0,0 +1,25 @@
+package api
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Duration is a time.Duration that is written as "98ms" or "5s".
+type Duration struct{ time.Duration }
+
+// UnmarshalText reads the form that time.ParseDuration accepts.
+func (duration *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Errorf("%q is not a duration; allowed: a number and a unit, as 250ms or 5s", text)
+	}
+	duration.Duration = parsed
+	return nil
+}
+
+// MarshalText writes the form that UnmarshalText reads.
+func (duration Duration) MarshalText() ([]byte, error) {
+	return []byte(duration.String()), nil
+}
--- a/internal/state/api/upstream.go
+++ b/internal/state/api/upstream.go
@@ -1,11 +1,20 @@
 package api
 
-import "time"
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrAnswered cancels the attempts that a query was answered without.
+var ErrAnswered = errors.New("the query was answered without this attempt")
 
 // The protocols that replicas speak.
 const (
 	ProtocolHTTP2 = "http2"
 	ProtocolHTTP1 = "http1"
+	// ProtocolRelay passes a caller's request whole, over HTTP/1.1.
+	ProtocolRelay = "relay"
 )
 
 // Attempt is one request to one replica.
@@ -20,6 +29,11 @@
 	// Timeout is what is left of the caller's deadline.
 	Timeout time.Duration
 	Body    []byte
+	// Relayed is the caller's request where it is passed whole.
+	Relayed *Relayed
+	// Replica names the replica that may run the attempt; another one at the
+	// same address refuses it.
+	Replica string
 }
 
 // ReplyStatus is a replica's verdict on an attempt.
@@ -33,13 +47,15 @@
 	ReplyCold         ReplyStatus = "cold"
 	ReplySnapshotGone ReplyStatus = "snapshotGone"
 	ReplyMoved        ReplyStatus = "moved"
-	ReplyFailed       ReplyStatus = "failed"
+	// ReplyElsewhere says that another replica has the address.
+	ReplyElsewhere ReplyStatus = "elsewhere"
+	ReplyFailed    ReplyStatus = "failed"
 )
 
 // IsNotRun reports whether the verdict proves that the attempt did not run.
 func (replystatus ReplyStatus) IsNotRun() bool {
 	switch replystatus {
-	case ReplyShed, ReplyLeaving, ReplyCold, ReplySnapshotGone, ReplyMoved:
+	case ReplyShed, ReplyLeaving, ReplyCold, ReplySnapshotGone, ReplyMoved, ReplyElsewhere:
 		return true
 	}
 	return false
@@ -57,7 +73,13 @@
 	Leaving bool
 	// Load is the replica's count of running and queued requests.
 	Load int
-	Body []byte
+	// IsLoadKnown is set where the reply states Load.
+	IsLoadKnown bool
+	Body        []byte
+	// Signature proves which replica gave a relayed answer.
+	Signature string
+	// Response is the replica's answer to a relayed request as it was read.
+	Response *Response
 }
 
 // ReplicaHealth is what a replica's health endpoint reports. It lags.
--- a/internal/state/api/validate.go
+++ b/internal/state/api/validate.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"math"
 	"net/netip"
 	"strings"
 
@@ -72,8 +73,8 @@
 			return invalid("upstreams.slots", upstream.Name, "1 or more")
 		case upstream.ConnectionLimit < 1:
 			return invalid("upstreams.connectionLimit", upstream.Name, "1 or more")
-		case upstream.Protocol != "" && upstream.Protocol != ProtocolHTTP2 && upstream.Protocol != ProtocolHTTP1:
-			return invalid("upstreams.protocol", upstream.Protocol, ProtocolHTTP2+" or "+ProtocolHTTP1)
+		case upstream.Protocol != "" && upstream.Protocol != ProtocolHTTP2 && upstream.Protocol != ProtocolHTTP1 && upstream.Protocol != ProtocolRelay:
+			return invalid("upstreams.protocol", upstream.Protocol, ProtocolHTTP2+", "+ProtocolHTTP1+" or "+ProtocolRelay)
 		}
 		seen[upstream.Name] = true
 	}
@@ -89,13 +90,16 @@
 		return invalid("tenant", "", "the tenant's name")
 	case scope.Class == "":
 		return invalid("class", "", "the class's name")
-	case scope.Index == "":
+	case scope.Index == "" && scope.Form != FormRelayed:
 		return invalid("index", "", "the name of an index")
 	case scope.Aim != AimLatency && scope.Aim != AimCoverage:
 		return invalid("aim", string(scope.Aim), string(AimLatency)+" or "+string(AimCoverage))
 	case scope.MinCoverage < 0 || scope.MinCoverage > 1:
 		return invalid("minCoverage", "out of range", "0 to 1")
 	}
+	if err := scope.validateForm(); err != nil {
+		return err
+	}
 	seen := make(map[string]bool, len(scope.Selectors))
 	for _, selector := range scope.Selectors {
 		if selector.Kind == "" || seen[selector.Kind] {
@@ -106,6 +110,34 @@
 	return nil
 }
 
+func (scope Scope) validateForm() error {
+	switch {
+	case scope.Form != "" && scope.Form != FormParts && scope.Form != FormMerged && scope.Form != FormRelayed:
+		return invalid("form", string(scope.Form), "parts, merged or relayed")
+	case scope.Form == FormMerged && scope.TopK < 1:
+		return invalid("topK", "less than 1", "1 or more")
+	case scope.Form == FormRelayed && len(scope.Split) == 0:
+		return invalid("split", "", "at least one upstream")
+	case scope.Form != FormRelayed && scope.Command:
+		return invalid("command", "true", "true on relayed scopes only")
+	case scope.MaxAttempts < 0:
+		return invalid("maxAttempts", "less than 0", "0 or more")
+	case scope.Timeout.Duration < 0 || scope.TargetLatency.Duration < 0:
+		return invalid("timeout", "negative", "a duration of 0 or more")
+	}
+	for _, share := range scope.Split {
+		if share.Upstream == "" || !(share.Weight >= 0) || math.IsInf(share.Weight, 0) {
+			return invalid("split", share.Upstream, "an upstream with a weight of 0 or more")
+		}
+	}
+	for _, route := range scope.Routes {
+		if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+			return invalid("routes.prefix", route.Prefix, "a path that begins and ends with a slash")
+		}
+	}
+	return nil
+}
+
 // Validate checks a page of the instance list on its own.
 func (instancelist InstanceList) Validate() error {
 	seen := make(map[string]bool, len(instancelist.Instances))
--- a/internal/state/message/message.go
+++ b/internal/state/message/message.go
@@ -13,6 +13,9 @@
 // DocumentReceived brings a document of the platform or of a peer.
 type DocumentReceived struct {
 	Received api.Received
+	// MayHaveLapsed marks a removal that may be of an entry whose lease ended
+	// while the platform was away.
+	MayHaveLapsed bool
 }
 
 // PlatformAnswered says that the platform answered a call.
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -3,12 +3,11 @@
 package settings
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 )
 
@@ -27,6 +26,21 @@
 	OperatorAddress string `toml:"operatorAddress"`
 	// Platform lists the addresses of the platform's configuration service.
 	Platform []string `toml:"platform"`
+	// Reading configures how the configuration service is read.
+	Reading Reading `toml:"reading"`
+	// Interface names the form in which callers, replicas and the platform
+	// speak: empty for the own one, or that of an adapter.
+	Interface string `toml:"interface"`
+	// LocatorAddress is where callers of an adapter ask which instances to
+	// use; empty turns it off.
+	LocatorAddress string `toml:"locatorAddress"`
+	// ReadinessAddress is where the platform of an adapter asks whether the
+	// instance is ready; empty turns it off.
+	ReadinessAddress string `toml:"readinessAddress"`
+	// Process configures what the process takes of its machine.
+	Process Process `toml:"process"`
+	// Retries bounds the requests that are sent more than once.
+	Retries Retries `toml:"retries"`
 	// Seeds lists peer addresses to ask when the platform does not answer.
 	Seeds []string `toml:"seeds"`
 	// Log configures the log output.
@@ -43,6 +57,37 @@
 	Policy Policy `toml:"policy"`
 }
 
+// Reading configures how the configuration service is read.
+type Reading struct {
+	// WatchWait is how long one call waits for a change.
+	WatchWait Duration `toml:"watchWait"`
+	// StaleAfter is how long an instance waits for news that the service
+	// answered a reader before it reads by itself.
+	StaleAfter Duration `toml:"staleAfter"`
+	// ReadersPerFailureDomain is how many instances of a failure domain read
+	// for the others.
+	ReadersPerFailureDomain int `toml:"readersPerFailureDomain"`
+}
+
+// Process configures what the process takes of its machine.
+type Process struct {
+	// Cores is how many threads run at once; 0 leaves it to the machine.
+	Cores int `toml:"cores"`
+	// MemoryBytes is what the process may hold; 0 leaves it unbounded.
+	MemoryBytes int64 `toml:"memoryBytes"`
+}
+
+// Retries bounds the requests that all instances together send to an upstream
+// beyond the first of each caller's request.
+type Retries struct {
+	// Ratio is the share of the first requests, 0 to 1.
+	Ratio float64 `toml:"ratio"`
+	// Slack is how many more there may be however few first requests are sent.
+	Slack float64 `toml:"slack"`
+	// Window is the time over which both are counted.
+	Window Duration `toml:"window"`
+}
+
 // Log configures the log output.
 type Log struct {
 	// Level is "debug", "info", "warn" or "error".
@@ -64,6 +109,9 @@
 
 // Stop configures the graceful shutdown.
 type Stop struct {
+	// LeaveTime is how long a leaving instance goes on serving callers that
+	// still hold its address; 0 leaves it to the callers' keep time.
+	LeaveTime Duration `toml:"leaveTime"`
 	// DrainTimeout bounds the wait for requests in flight.
 	DrainTimeout Duration `toml:"drainTimeout"`
 }
@@ -72,6 +120,9 @@
 type Callers struct {
 	// KeepTime is how long callers keep the list of instances.
 	KeepTime Duration `toml:"keepTime"`
+	// TargetMargin is what a caller sees of a request's latency beyond the time
+	// that the instance spends on it: its connection set-up and both ways.
+	TargetMargin Duration `toml:"targetMargin"`
 	// KeyLifetime is how long an idempotency key is valid.
 	KeyLifetime Duration `toml:"keyLifetime"`
 	// MaxKeys bounds the keyed outcomes that the instance remembers.
@@ -104,38 +155,30 @@
 }
 
 // Duration is a time.Duration that is written as "98ms" or "5s".
-type Duration struct{ time.Duration }
-
-// UnmarshalText reads the form that time.ParseDuration accepts.
-func (duration *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	if err != nil {
-		return errors.Errorf("%q is not a duration; allowed: a number and a unit, as 250ms or 5s", text)
-	}
-	duration.Duration = parsed
-	return nil
-}
-
-// MarshalText writes the form that UnmarshalText reads.
-func (duration Duration) MarshalText() ([]byte, error) {
-	return []byte(duration.String()), nil
-}
+type Duration = api.Duration
 
 // Default returns the settings of an instance whose file leaves them out.
 func Default() Settings {
 	return Settings{
-		Log:  Log{Level: "info"},
-		Stop: Stop{DrainTimeout: Duration{30 * time.Second}},
+		Log: Log{Level: "info"},
+		Reading: Reading{
+			WatchWait:               Duration{Duration: 20 * time.Second},
+			StaleAfter:              Duration{Duration: 30 * time.Second},
+			ReadersPerFailureDomain: 3,
+		},
+		Retries: Retries{Ratio: 0.2, Slack: 50, Window: Duration{Duration: 10 * time.Second}},
+		Stop:    Stop{DrainTimeout: Duration{Duration: 30 * time.Second}},
 		Callers: Callers{
-			KeepTime:    Duration{5 * time.Second},
-			KeyLifetime: Duration{10 * time.Minute},
-			MaxKeys:     100_000,
-			MaxInFlight: 4_096,
+			KeepTime:     Duration{Duration: 5 * time.Second},
+			TargetMargin: Duration{Duration: 18 * time.Millisecond},
+			KeyLifetime:  Duration{Duration: 10 * time.Minute},
+			MaxKeys:      100_000,
+			MaxInFlight:  4_096,
 		},
 		Peers: Peers{
-			ProbeInterval:    Duration{time.Second},
-			ProbeTimeout:     Duration{400 * time.Millisecond},
-			SuspicionTimeout: Duration{2 * time.Second},
+			ProbeInterval:    Duration{Duration: time.Second},
+			ProbeTimeout:     Duration{Duration: 400 * time.Millisecond},
+			SuspicionTimeout: Duration{Duration: 2 * time.Second},
 		},
 		Policy: Policy{Set: "default"},
 	}
@@ -179,12 +222,19 @@
 		"callerAddress": settings.CallerAddress,
 		"peerAddress":   settings.PeerAddress,
 	}
-	if settings.OperatorAddress != "" {
-		addresses["operatorAddress"] = settings.OperatorAddress
+	optional := map[string]string{
+		"operatorAddress":  settings.OperatorAddress,
+		"locatorAddress":   settings.LocatorAddress,
+		"readinessAddress": settings.ReadinessAddress,
 	}
-	for _, key := range []string{"callerAddress", "peerAddress", "operatorAddress"} {
-		address, isSet := addresses[key]
-		if isSet && api.ValidateAddress(key, address) != nil {
+	for key, address := range optional {
+		if address != "" {
+			addresses[key] = address
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(addresses)) {
+		address := addresses[key]
+		if api.ValidateAddress(key, address) != nil {
 			return &FieldError{Key: key, Value: address, Allowed: addressAllowed}
 		}
 	}
@@ -253,6 +303,11 @@
 		"stop.drainTimeout":      {settings.Stop.DrainTimeout.Duration, 0, time.Hour},
 		"callers.keepTime":       {settings.Callers.KeepTime.Duration, 100 * time.Millisecond, time.Hour},
 		"callers.keyLifetime":    {settings.Callers.KeyLifetime.Duration, time.Second, 24 * time.Hour},
+		"callers.targetMargin":   {settings.Callers.TargetMargin.Duration, 0, time.Minute},
+		"stop.leaveTime":         {settings.Stop.LeaveTime.Duration, 0, time.Hour},
+		"reading.watchWait":      {settings.Reading.WatchWait.Duration, 100 * time.Millisecond, time.Minute},
+		"reading.staleAfter":     {settings.Reading.StaleAfter.Duration, 500 * time.Millisecond, time.Hour},
+		"retries.window":         {settings.Retries.Window.Duration, time.Second, time.Minute},
 		"peers.probeInterval":    {settings.Peers.ProbeInterval.Duration, 50 * time.Millisecond, time.Minute},
 		"peers.probeTimeout":     {settings.Peers.ProbeTimeout.Duration, 10 * time.Millisecond, time.Minute},
 		"peers.suspicionTimeout": {settings.Peers.SuspicionTimeout.Duration, 100 * time.Millisecond, time.Minute},
@@ -262,7 +317,13 @@
 			return &FieldError{Key: key, Value: bound.value.String(), Allowed: bound.least.String() + " to " + bound.most.String()}
 		}
 	}
-	counts := map[string]int{"callers.maxKeys": settings.Callers.MaxKeys, "callers.maxInFlight": settings.Callers.MaxInFlight}
+	if ratio := settings.Retries.Ratio; !(ratio >= 0 && ratio <= 1) || !(settings.Retries.Slack >= 0) {
+		return &FieldError{Key: "retries", Value: "out of range", Allowed: "a ratio of 0 to 1 and a slack of 0 or more"}
+	}
+	if settings.Process.Cores < 0 || settings.Process.MemoryBytes < 0 {
+		return &FieldError{Key: "process", Value: "less than 0", Allowed: "0 or more"}
+	}
+	counts := map[string]int{"reading.readersPerFailureDomain": settings.Reading.ReadersPerFailureDomain, "callers.maxKeys": settings.Callers.MaxKeys, "callers.maxInFlight": settings.Callers.MaxInFlight}
 	for key, count := range counts {
 		if count < 1 {
 			return &FieldError{Key: key, Value: "less than 1", Allowed: "1 or more"}
--- /dev/null
+++ b/internal/state/view/call.go
@@ -0,0 +1,20 @@
+package view
+
+import (
+	"time"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+)
+
+// Call is one request of a caller's own form with the View, scope and kind
+// that it is pinned to.
+type Call struct {
+	View    *View
+	Scope   Scope
+	Kind    string
+	Relayed *api.Relayed
+	// Start is when the request arrived.
+	Start time.Time
+	// Deadline is when the answer must be on its way.
+	Deadline time.Time
+}
--- a/internal/state/view/replica.go
+++ b/internal/state/view/replica.go
@@ -30,6 +30,12 @@
 	Peak atomic.Int64
 	// AnsweredAt is when Latency was last updated, in nanoseconds since Epoch.
 	AnsweredAt atomic.Int64
+	// BusySince is when InFlight last rose from 0, in nanoseconds since Epoch.
+	BusySince atomic.Int64
+	// Failing is a moving share of attempts that brought no answer, as a part
+	// of failingUnit, and FailingAt when it was last updated.
+	Failing   atomic.Int64
+	FailingAt atomic.Int64
 	// ReportedLoad is the load that the replica last reported.
 	ReportedLoad atomic.Int64
 	// ReportedAt is when ReportedLoad was read, in nanoseconds since Epoch.
@@ -41,6 +47,9 @@
 	FailedUntil atomic.Int64
 	// Failures counts the failed attempts since the last answer.
 	Failures atomic.Int64
+	// ColdUntil is until when the replica is slow after its start, in
+	// nanoseconds since Epoch.
+	ColdUntil atomic.Int64
 	// Held is the highest snapshot that the replica is known to hold.
 	Held atomic.Uint64
 }
@@ -59,6 +68,61 @@
 	deviationShift = 3
 )
 
+// Begin counts an attempt that is sent now and returns the time since Epoch.
+func (traffic *Traffic) Begin() time.Duration {
+	now := Since()
+	if traffic.InFlight.Add(1) == 1 {
+		traffic.BusySince.Store(int64(now))
+	}
+	return now
+}
+
+// End counts an attempt that is over.
+func (traffic *Traffic) End() { traffic.InFlight.Add(-1) }
+
+// Stalled returns how long attempts have waited with none answered.
+func (traffic *Traffic) Stalled(now time.Duration) time.Duration {
+	if traffic.InFlight.Load() == 0 {
+		return 0
+	}
+	since := max(traffic.BusySince.Load(), traffic.AnsweredAt.Load())
+	return max(now-time.Duration(since), 0)
+}
+
+const (
+	// outcomeShift is the weight of a new outcome in Failing, as one in two to
+	// this power.
+	outcomeShift = 3
+	// failingUnit is the value of Failing where every attempt fails.
+	failingUnit = 1 << 16
+	// failingHalfLife is the time in which Failing halves while nothing is
+	// observed, so that a failing replica is tried again.
+	failingHalfLife = 2 * time.Second
+)
+
+// ObserveOutcome folds in whether an attempt brought an answer.
+func (traffic *Traffic) ObserveOutcome(isAnswered bool) {
+	now := Since()
+	share := int64(traffic.FailingShare(now) * failingUnit)
+	target := int64(failingUnit)
+	if isAnswered {
+		target = 0
+	}
+	traffic.Failing.Store(share + (target-share)>>outcomeShift)
+	traffic.FailingAt.Store(int64(now))
+}
+
+// FailingShare returns the moving share of attempts that brought no answer, 0
+// to 1.
+func (traffic *Traffic) FailingShare(now time.Duration) float64 {
+	share := float64(traffic.Failing.Load()) / failingUnit
+	if share == 0 {
+		return 0
+	}
+	age := now - time.Duration(traffic.FailingAt.Load())
+	return share * math.Exp2(-float64(age)/float64(failingHalfLife))
+}
+
 // ObserveLatency folds one answered attempt into the moving averages. Two
 // goroutines that observe at once may lose one of the observations.
 func (traffic *Traffic) ObserveLatency(latency time.Duration) {
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -14,9 +14,14 @@
 	Number uint64
 	Self   api.Member
 	// Members holds all known instances of the system, by name.
-	Members  map[string]api.Member
-	Indexes  map[string]Index
-	Scopes   map[string]Scope
+	Members map[string]api.Member
+	Indexes map[string]Index
+	Scopes  map[string]Scope
+	// Routes holds the scopes that callers reach with requests of their own
+	// form; nil before the first configuration.
+	Routes Routes
+	// Limits bounds what callers may send.
+	Limits   api.CallerLimits
 	Replicas map[string]*Replica
 	Keys     []KeyStatus
 	// Listed holds the system's own instances as the platform lists them.
@@ -63,6 +68,15 @@
 type Scope struct {
 	Scope      api.Scope
 	Selections map[string]Selection
+	// Targets holds the upstreams of a relayed scope.
+	Targets []Target
+}
+
+// Target is one upstream of a relayed scope and its share of the requests.
+type Target struct {
+	Weight float64
+	// Shard stands for the upstream: any of its replicas may answer.
+	Shard Shard
 }
 
 // Selection is the set of shards that requests of one kind cover.
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -28,6 +28,13 @@
 	connectionReserve = 4
 )
 
+// shareOf returns how many connections one of so many instances may open to a
+// replica of upstream.
+func shareOf(upstream api.Upstream, instances, reserve int) int {
+	usable := upstream.ConnectionLimit - upstream.ConnectionLimit/reserve
+	return max(usable/max(instances, 1), 1)
+}
+
 // SendError reports an attempt that got no reply, with the step and the peer.
 type SendError struct {
 	Step string
@@ -57,14 +64,18 @@
 	checking atomic.Bool
 }
 
+// OpenLink returns a link to replica, as Links asks for it.
+func OpenLink(replica *view.Replica, instances int) *Link {
+	return NewLink(replica.Instance.Address, replica.Upstream, instances)
+}
+
 // NewLink returns a link to a replica. It opens connections when needed, and
 // at most its share of the replica's limit among instances.
 func NewLink(address string, upstream api.Upstream, instances int) *Link {
-	usable := upstream.ConnectionLimit - upstream.ConnectionLimit/connectionReserve
 	link := &Link{
 		address:  address,
 		protocol: upstream.Protocol,
-		most:     max(usable/max(instances, 1), 1),
+		most:     shareOf(upstream, instances, connectionReserve),
 	}
 	link.current.Store(link.newTransport())
 	return link
@@ -140,6 +151,9 @@
 	old.CloseIdleConnections()
 }
 
+// Checked returns the link itself: its connection carries several requests.
+func (link *Link) Checked() *Link { return link }
+
 // Close ends the idle connections.
 func (link *Link) Close() { link.current.Load().CloseIdleConnections() }
 
@@ -185,33 +199,3 @@
 	}
 	return health, nil
 }
-
-// Links holds the link of each replica.
-type Links struct {
-	links sync.Map
-}
-
-// Get returns the link to replica.
-func (links *Links) Get(replica *view.Replica, instances int) *Link {
-	key := replica.Instance.Address
-	if link, ok := links.links.Load(key); ok {
-		return link.(*Link)
-	}
-	link, _ := links.links.LoadOrStore(key, NewLink(key, replica.Upstream, instances))
-	return link.(*Link)
-}
-
-// Keep closes the links to replicas that are not in replicas.
-func (links *Links) Keep(replicas map[string]*view.Replica) {
-	kept := make(map[string]bool, len(replicas))
-	for _, replica := range replicas {
-		kept[replica.Instance.Address] = true
-	}
-	links.links.Range(func(key, link any) bool {
-		if !kept[key.(string)] {
-			links.links.Delete(key)
-			link.(*Link).Close()
-		}
-		return true
-	})
-}
--- a/internal/wire/http/platform.go
+++ b/internal/wire/http/platform.go
@@ -48,6 +48,35 @@
 	Client  *http.Client
 }
 
+// Peer returns the service's address.
+func (platform Platform) Peer() string { return platform.Address }
+
+// Changes returns the documents that are newer than revision after. It waits
+// up to wait for one, and reads those whose listed revision is above the known
+// one.
+func (platform Platform) Changes(ctx context.Context, after uint64, wait time.Duration, known func(key string) uint64) (api.Changes, error) {
+	listing, err := platform.Watch(ctx, after, wait)
+	if err != nil {
+		return api.Changes{}, err
+	}
+	changes := api.Changes{Revision: listing.Revision}
+	for _, key := range listing.Keys {
+		if key.Revision <= known(key.Key) {
+			continue
+		}
+		document, err := platform.Read(ctx, key.Key)
+		if err != nil {
+			return changes, err
+		}
+		if document.Revision < key.Revision {
+			// An older document than the one listed makes the answer stale.
+			changes.Revision = min(changes.Revision, document.Revision)
+		}
+		changes.Documents = append(changes.Documents, document)
+	}
+	return changes, nil
+}
+
 // Watch lists the keys that are newer than revision. It waits up to wait for
 // one; after 0 it lists all keys at once.
 func (platform Platform) Watch(ctx context.Context, after uint64, wait time.Duration) (api.Listing, error) {
--- /dev/null
+++ b/internal/wire/http/relaycodec.go
@@ -0,0 +1,122 @@
+package http
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+)
+
+// hopHeaders concern one connection only and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host",
+}
+
+// EndToEnd returns the headers that are passed on.
+func EndToEnd(header http.Header) http.Header {
+	passed := make(http.Header, len(header))
+	named := connectionHeaders(header)
+	for name, values := range header {
+		if !slices.Contains(hopHeaders, name) && !slices.Contains(named, name) {
+			passed[name] = values
+		}
+	}
+	return passed
+}
+
+// connectionHeaders returns the headers that the Connection header names.
+func connectionHeaders(header http.Header) []string {
+	var named []string
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			named = append(named, textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return named
+}
+
+// encodeRelayed writes the caller's request as it goes to one replica.
+func encodeRelayed(names *Names, attempt api.Attempt) relayRequest {
+	relayed := attempt.Relayed
+	buffer := make([]byte, 0, 512+len(relayed.Body))
+	buffer = append(buffer, relayed.Method...)
+	buffer = append(buffer, ' ')
+	buffer = append(buffer, relayed.Target...)
+	buffer = append(buffer, " HTTP/1.1\r\n"...)
+	buffer = appendHeader(buffer, "Host", relayed.Host)
+	for name, values := range relayed.Header {
+		if name == names.Deadline || name == names.Replica {
+			continue
+		}
+		for _, value := range values {
+			buffer = appendHeader(buffer, name, value)
+		}
+	}
+	millis := max(attempt.Timeout.Milliseconds(), 1)
+	buffer = appendHeader(buffer, names.Deadline, strconv.FormatInt(millis, 10))
+	if attempt.Replica != "" {
+		buffer = appendHeader(buffer, names.Replica, attempt.Replica)
+	}
+	if len(relayed.Body) > 0 || mayHaveBody(relayed.Method) {
+		buffer = appendHeader(buffer, "Content-Length", strconv.Itoa(len(relayed.Body)))
+	}
+	buffer = append(buffer, "\r\n"...)
+	buffer = append(buffer, relayed.Body...)
+	return relayRequest{method: relayed.Method, identity: relayed.Identity, identityName: names.Identity, bytes: buffer}
+}
+
+func appendHeader(buffer []byte, name, value string) []byte {
+	buffer = append(buffer, name...)
+	buffer = append(buffer, ": "...)
+	buffer = append(buffer, value...)
+	return append(buffer, "\r\n"...)
+}
+
+func mayHaveBody(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// decodeRelayed reads what a replica's answer says of the attempt. A success
+// needs the replica's signature and an unchanged body.
+func decodeRelayed(names *Names, attempt api.Attempt, response *api.Response) api.Reply {
+	header := http.Header(response.Header)
+	reply := api.Reply{
+		Identity:  attempt.Identity,
+		Snapshot:  attempt.Snapshot,
+		Epoch:     attempt.Epoch,
+		Signature: header.Get(names.Signature),
+		Body:      response.Body,
+		Response:  response,
+		Status:    api.ReplyFailed,
+	}
+	reply.Load, reply.IsLoadKnown = decodeLoad(header.Get(names.Load))
+	isSuccess := response.Code >= http.StatusOK && response.Code < http.StatusMultipleChoices
+	switch {
+	case response.Code == http.StatusMisdirectedRequest:
+		reply.Status = api.ReplyElsewhere
+	case header.Get(names.NotRun) != "":
+		reply.Status = api.ReplyShed
+	case isSuccess && reply.Signature != "" && header.Get("Content-Encoding") == "":
+		reply.Status = api.ReplyDone
+	}
+	return reply
+}
+
+// decodeLoad reads the requests that a replica runs and queues.
+func decodeLoad(text string) (int, bool) {
+	running, rest, isList := strings.Cut(text, ",")
+	queued, _, _ := strings.Cut(rest, ",")
+	runs, err := strconv.Atoi(strings.TrimSpace(running))
+	if err != nil || !isList {
+		return 0, false
+	}
+	waits, err := strconv.Atoi(strings.TrimSpace(queued))
+	if err != nil {
+		return 0, false
+	}
+	return runs + waits, true
+}
--- a/internal/wire/http/upstream.go
+++ b/internal/wire/http/upstream.go
@@ -143,11 +143,11 @@
 		Leaving:  header.Get(headerLeaving) != "",
 		Body:     body,
 	}
-	reply.Load, _ = strconv.Atoi(header.Get(headerLoad))
+	load, err := strconv.Atoi(header.Get(headerLoad))
+	reply.Load, reply.IsLoadKnown = load, err == nil
 	if status != api.ReplyDone {
 		return reply, nil
 	}
-	var err error
 	if reply.Snapshot, err = strconv.ParseUint(header.Get(headerSnapshot), 10, 64); err != nil {
 		return reply, errors.Wrap(err, headerSnapshot)
 	}
