--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -313,7 +313,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &server{listener: listener, http: &http.Server{ReadHeaderTimeout: readHeaderTimeout}}, nil
+	return &server{listener: listener, http: &http.Server{ReadHeaderTimeout: readHeaderTimeout, ConnContext: withRoundTrip}}, nil
 }
 
 // newOptionalServer returns nil for an empty address.
--- a/internal/process/instance/relay.go
+++ b/internal/process/instance/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -58,6 +59,7 @@
 	}
 	scope := current.Scopes[target.Scope]
 	call := view.Call{View: current, Scope: scope, Kind: target.Kind, Relayed: relayed, Start: start}
+	call.RoundTrip, _ = request.Context().Value(roundTripKey{}).(time.Duration)
 	call.Deadline = start.Add(timeLeft(scope.Scope, relayed))
 	answer := relay.answer(request.Context(), call)
 	label := scope.Scope.Tenant + "." + scope.Scope.Class
@@ -72,6 +74,20 @@
 	return relay.query(ctx, call)
 }
 
+// roundTripKey is the key of a connection's round trip time in the context of
+// its requests.
+type roundTripKey struct{}
+
+// withRoundTrip adds the round trip time of conn to the context of its
+// requests.
+func withRoundTrip(ctx context.Context, conn net.Conn) context.Context {
+	roundTrip, isKnown := wire.RoundTrip(conn)
+	if !isKnown {
+		return ctx
+	}
+	return context.WithValue(ctx, roundTripKey{}, roundTrip)
+}
+
 // timeLeft returns how long a request may take: what its caller waits, within
 // the scope's timeout.
 func timeLeft(scope api.Scope, relayed *api.Relayed) time.Duration {
--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -19,10 +19,42 @@
 	Run     func(ctx context.Context, request upstream.Request) api.Answer
 	Metrics *metrics.Metrics
 	// TargetMargin is what a caller sees beyond the time from a request's
-	// arrival to its answer: the ways there and back.
+	// arrival to its answer, where the request does not tell.
 	TargetMargin time.Duration
 }
 
+const (
+	// answerTime is how long an answer takes from its cut-off to its last byte
+	// on an instance with a small share of a processor.
+	answerTime = 5 * time.Millisecond
+	// mostSpent is the part of the target latency that a caller may have spent
+	// before its request was sent. One that spent more has asked before, or
+	// waits for another time than the scope's timeout.
+	mostSpent = 0.5
+)
+
+// TargetOf returns when the answer to call must be ready to reach the caller
+// within the scope's target latency; zero where there is none. A caller that
+// has set up a connection, or asked for an instance, waits for less than the
+// scope's timeout by what that took.
+func TargetOf(call view.Call, margin time.Duration) time.Time {
+	scope := call.Scope.Scope
+	target := scope.TargetLatency.Duration
+	if target <= 0 {
+		return time.Time{}
+	}
+	spent := scope.Timeout.Duration - call.Relayed.Deadline
+	isTold := call.Relayed.Deadline > 0 && spent >= 0 && float64(spent) <= mostSpent*float64(target)
+	if isTold && call.RoundTrip > 0 {
+		margin = spent + call.RoundTrip + answerTime
+	}
+	return call.Start.Add(max(target-margin, target/leastTargetShare))
+}
+
+// leastTargetShare is the least time to the target, as one in so many of the
+// target latency: a part of the answers is there by then.
+const leastTargetShare = 4
+
 // Serve answers an idempotent call.
 func (relay *Relay[A]) Serve(ctx context.Context, call view.Call) api.Answer {
 	request := upstream.Request{
@@ -32,9 +64,7 @@
 		Query:     api.Query{Scope: call.Scope.Scope.Name, Kind: call.Kind},
 		Relayed:   call.Relayed,
 		Deadline:  call.Deadline,
-	}
-	if target := request.Scope.TargetLatency.Duration; target > 0 {
-		request.Target = call.Start.Add(max(target-relay.TargetMargin, target/2))
+		Target:    TargetOf(call, relay.TargetMargin),
 	}
 	ticket := Ticket{Scope: request.Scope, Selection: request.Selection, Deadline: call.Deadline}
 	if refusal := relay.Admission.Admit(ticket); refusal != nil {
--- a/internal/state/view/call.go
+++ b/internal/state/view/call.go
@@ -15,6 +15,8 @@
 	Relayed *api.Relayed
 	// Start is when the request arrived.
 	Start time.Time
+	// RoundTrip is the time to the caller and back; 0 where it is not known.
+	RoundTrip time.Duration
 	// Deadline is when the answer must be on its way.
 	Deadline time.Time
 }
--- /dev/null
+++ b/internal/wire/http/roundtrip.go
@@ -0,0 +1,30 @@
+package http
+
+import (
+	"net"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// RoundTrip returns the round trip time of a connection as the kernel measured
+// it, and false where it is not known.
+func RoundTrip(conn net.Conn) (time.Duration, bool) {
+	tcp, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		return 0, false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var failure error
+	err = raw.Control(func(socket uintptr) {
+		info, failure = unix.GetsockoptTCPInfo(int(socket), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err != nil || failure != nil {
+		return 0, false
+	}
+	return time.Duration(info.Rtt) * time.Microsecond, info.Rtt > 0
+}
