--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -19,7 +19,7 @@
 	// published.
 	batchSize = 256
 	// figuresInterval is the least age of a View that only new figures replace.
-	figuresInterval = time.Second
+	figuresInterval = 250 * time.Millisecond
 )
 
 // Peers is what control asks of the part that speaks to peers.
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -20,7 +20,11 @@
 
 // Times of the calls to the configuration service.
 const (
-	idleWait     = 200 * time.Millisecond
+	idleWait = 200 * time.Millisecond
+	// gatherTime is the wait after an answer with changes, so that one call
+	// brings those that follow closely. Each call counts against the platform's
+	// rate; a change is due everywhere within seconds.
+	gatherTime   = 100 * time.Millisecond
 	leastBackoff = 100 * time.Millisecond
 	mostBackoff  = time.Second
 	// settleTime is how long after the service's return an entry may be missing
@@ -121,6 +125,9 @@
 		return err
 	}
 	reader.revision = changes.Revision
+	if len(changes.Documents) > 0 {
+		pause(ctx, gatherTime)
+	}
 	return nil
 }
 
--- a/internal/state/choice/leastwait.go
+++ b/internal/state/choice/leastwait.go
@@ -17,7 +17,7 @@
 	coldFactor = 1.6
 	// farFactor is how much more a replica of another failure domain counts,
 	// for the bytes that go there and back.
-	farFactor = 1.25
+	farFactor = 2
 	// stallFactor is how many times its latency a replica may leave attempts
 	// without an answer before it counts as stalled.
 	stallFactor = 2
