--- a/internal/standin/upstream/replica.go
+++ b/internal/standin/upstream/replica.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/http"
@@ -44,7 +45,7 @@
 		shape:  shape,
 		shards: shards,
 		held:   held,
-		counts: Counts{Commands: make(map[string]int)},
+		counts: Counts{Commands: make(map[string]int), Relayed: make(map[string]RelayedRun)},
 		runs:   make(map[string]bool),
 	}
 }
@@ -81,6 +82,7 @@
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
 	counts := replica.counts
+	counts.Relayed = maps.Clone(replica.counts.Relayed)
 	counts.Commands = make(map[string]int, len(replica.counts.Commands))
 	for body, count := range replica.counts.Commands {
 		counts.Commands[body] = count
@@ -97,6 +99,8 @@
 	mux.Post("/admin/held", replica.hold)
 	mux.Post("/admin/shards", replica.serveShards)
 	mux.Get("/admin/counts", replica.count)
+	mux.NotFound(replica.relay)
+	mux.MethodNotAllowed(replica.relay)
 }
 
 func (replica *Replica) query(writer http.ResponseWriter, request *http.Request) {
@@ -305,3 +309,10 @@
 	body, _ := json.Marshal(Found{Shard: attempt.Shard, Snapshot: attempt.Snapshot, Replica: replica.Name, Echo: echo})
 	return body
 }
+
+// Busy returns how many requests the replica runs or queues.
+func (replica *Replica) Busy() int {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.running + len(replica.waiting)
+}
