--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
@@ -43,6 +44,7 @@
 		MembersDigest: roles.digest,
 		Marks:         configuration.marks,
 		Stopped:       roles.stopped,
+		Ended:         roles.ended,
 		PlatformHeard: state.PlatformHeard,
 		StaleAnswers:  state.StaleAnswers,
 	}
@@ -67,7 +69,7 @@
 		limits:  publishedLimits(state),
 		keys:    keyStatuses(state),
 		digest:  keysDigest(state),
-		marks:   slices.Collect(maps.Keys(state.Marks)),
+		marks:   learned(state.Marks),
 	}
 }
 
@@ -76,10 +78,31 @@
 		neighbours: Neighbours(members, state.Self.Instance.Name),
 		isReader:   IsReader(members, state.Self, state.ReadersPerFailureDomain),
 		digest:     membersDigest(members, state.Stopped),
-		stopped:    slices.Collect(maps.Keys(state.Stopped)),
+		stopped:    learned(state.Stopped),
+		ended:      ended(state.Members),
 	}
 }
 
+// learned returns news in the order in which it was learned.
+func learned[N comparable](since map[N]time.Time) []view.Learned[N] {
+	all := make([]view.Learned[N], 0, len(since))
+	for news, at := range since {
+		all = append(all, view.Learned[N]{News: news, Since: at})
+	}
+	slices.SortFunc(all, func(a, b view.Learned[N]) int { return a.Since.Compare(b.Since) })
+	return all
+}
+
+func ended(members map[string]Member) map[string]time.Time {
+	ended := make(map[string]time.Time)
+	for name, member := range members {
+		if member.State == api.MemberFailed || member.State == api.MemberLeft {
+			ended[name] = member.Since
+		}
+	}
+	return ended
+}
+
 // published visits the documents in force, in the order of keys.
 func published(state *State, visit func(api.Received)) {
 	for _, key := range slices.Sorted(maps.Keys(state.InForce)) {
--- a/internal/command/control/membership.go
+++ b/internal/command/control/membership.go
@@ -24,10 +24,12 @@
 // applyStopped remembers the heir of a home that stopped, also when the home's
 // name has a new incarnation.
 func applyStopped(state *State, stopped api.Stopped, now time.Time) Effects {
-	if _, isKnown := state.Stopped[stopped]; isKnown {
+	since, isOver := learnedAt(stopped.AgeSeconds, memberForget, now)
+	stopped.AgeSeconds = 0
+	if _, isKnown := state.Stopped[stopped]; isKnown || isOver {
 		return Effects{}
 	}
-	state.Stopped[stopped] = now
+	state.Stopped[stopped] = since
 	return Effects{Membership: true, Gossip: api.Gossip{Stopped: []api.Stopped{stopped}}}
 }
 
@@ -37,11 +39,13 @@
 		return applyOwnNews(state, news, now)
 	}
 	known, isKnown := state.Members[news.Instance.Name]
-	if isKnown && !IsNewer(news, known.Member) {
+	since, isOver := learnedAt(news.AgeSeconds, memberForget, now)
+	if isKnown && !IsNewer(news, known.Member) || isOver {
 		return Effects{}
 	}
+	news.AgeSeconds = 0
 	news.Load = known.Load
-	state.Members[news.Instance.Name] = Member{Member: news, Since: now}
+	state.Members[news.Instance.Name] = Member{Member: news, Since: since}
 	return memberNews(news)
 }
 
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
@@ -64,12 +63,13 @@
 	limits  api.CallerLimits
 	keys    []view.KeyStatus
 	digest  uint64
-	marks   []api.LeavingMark
+	marks   []view.Learned[api.LeavingMark]
 }
 
 // roles is the part of a View that follows from the membership.
 type roles struct {
-	stopped    []api.Stopped
+	stopped    []view.Learned[api.Stopped]
+	ended      map[string]time.Time
 	neighbours []string
 	isReader   bool
 	digest     uint64
@@ -231,10 +231,12 @@
 }
 
 func applyMark(state *State, mark api.LeavingMark, now time.Time) Effects {
-	if _, isKnown := state.Marks[mark]; isKnown {
+	since, isOver := learnedAt(mark.AgeSeconds, markForget, now)
+	mark.AgeSeconds = 0
+	if _, isKnown := state.Marks[mark]; isKnown || isOver {
 		return Effects{}
 	}
-	state.Marks[mark] = now
+	state.Marks[mark] = since
 	return Effects{Rebuild: true, Gossip: api.Gossip{Marks: []api.LeavingMark{mark}}}
 }
 
@@ -269,6 +271,13 @@
 	return Effects{Refresh: true}
 }
 
+// learnedAt returns when news of an age was first learned, and whether it is
+// to be forgotten already.
+func learnedAt(ageSeconds uint32, forget time.Duration, now time.Time) (time.Time, bool) {
+	age := time.Duration(ageSeconds) * time.Second
+	return now.Add(-age), age >= forget
+}
+
 func forget(state *State, now time.Time) Effects {
 	var effects Effects
 	for name, member := range state.Members {
@@ -278,12 +287,18 @@
 			effects.Membership = true
 		}
 	}
-	maps.DeleteFunc(state.Stopped, func(_ api.Stopped, since time.Time) bool { return now.Sub(since) > memberForget })
+	for stopped, since := range state.Stopped {
+		if now.Sub(since) > memberForget {
+			delete(state.Stopped, stopped)
+			effects.Membership = true
+		}
+	}
 	for mark, since := range state.Marks {
 		replica := state.Replicas[mark.Replica]
 		isInUse := replica != nil && replica.Instance.Incarnation == mark.Incarnation
 		if !isInUse && now.Sub(since) > markForget {
 			delete(state.Marks, mark)
+			effects.Rebuild = true
 		}
 	}
 	return effects
--- a/internal/command/peer/news.go
+++ b/internal/command/peer/news.go
@@ -80,17 +80,34 @@
 	current := peers.published.Load()
 	inForce := revisions(request.InForce)
 	refused := revisions(request.Refused)
-	reply := &api.SyncReply{Marks: current.Marks, Stopped: current.Stopped}
+	now := time.Now()
+	reply := &api.SyncReply{}
+	for _, learned := range current.Marks {
+		learned.News.AgeSeconds = ageSeconds(learned.Since, now)
+		reply.Marks = append(reply.Marks, learned.News)
+	}
+	for _, learned := range current.Stopped {
+		learned.News.AgeSeconds = ageSeconds(learned.Since, now)
+		reply.Stopped = append(reply.Stopped, learned.News)
+	}
 	for _, status := range current.Keys {
 		key := status.Key
 		reply.Documents = appendKnown(reply.Documents, current, key, inForce[key], refused[key])
 	}
-	for _, member := range current.Members {
+	for name, member := range current.Members {
+		if since, isEnded := current.Ended[name]; isEnded {
+			member.AgeSeconds = ageSeconds(since, now)
+		}
 		reply.Members = append(reply.Members, member)
 	}
 	return api.CallReply{Sync: reply}
 }
 
+// ageSeconds returns the age of news in whole seconds, rounded up.
+func ageSeconds(since, now time.Time) uint32 {
+	return uint32(max(now.Sub(since)+time.Second-1, 0) / time.Second)
+}
+
 func revisions(keys []api.KeyRevision) map[string]uint64 {
 	revisions := make(map[string]uint64, len(keys))
 	for _, key := range keys {
--- a/internal/query/caller/paced.go
+++ b/internal/query/caller/paced.go
@@ -15,12 +15,12 @@
 	// a pace starts, so that a short stall refuses nothing.
 	windowsBefore = 3
 	// topOccupancy is the load of the selected replicas, as a multiple of their
-	// slots, at which the class of the highest priority is held.
+	// slots, at which the highest priority that is present is held.
 	topOccupancy = 1.5
 	// priorityStep is how much less each lower priority may fill the replicas.
 	priorityStep = 0.2
-	// topPriority is the priority from which topOccupancy holds.
-	topPriority = 3
+	// presence is how long a priority counts as present after its last query.
+	presence = 10 * time.Second
 	// leastOccupancy bounds the steps.
 	leastOccupancy = 0.4
 	// Factors by which a pace falls and rises in one window.
@@ -38,16 +38,19 @@
 
 // PacedAdmission takes queries at a pace for each scope and kind. The pace
 // follows the load that the selected replicas report: while it is above the
-// target of the scope's priority the pace falls, and below it rises. Lower
-// priorities have lower targets, so that they give way first.
+// target of the scope's priority the pace falls, and below it rises. Priorities
+// below the highest that is present have lower targets, so that they give way
+// first.
 type PacedAdmission struct {
 	mutex sync.Mutex
 	paces map[string]*pace
+	// present holds when each priority last had a query.
+	present map[int]time.Duration
 }
 
 // NewPacedAdmission returns an admission that has refused nothing yet.
 func NewPacedAdmission() *PacedAdmission {
-	return &PacedAdmission{paces: make(map[string]*pace)}
+	return &PacedAdmission{paces: make(map[string]*pace), present: make(map[int]time.Duration)}
 }
 
 // Admit takes a query within the pace of its scope and kind.
@@ -57,12 +60,13 @@
 	key := ticket.Scope.Name + "/" + ticket.Selection.Kind
 	found := pacedadmission.paces[key]
 	now := view.Since()
+	pacedadmission.present[ticket.Scope.Priority] = now
 	if found == nil {
 		found = &pace{limit: math.Inf(1), filled: now, turned: now}
 		pacedadmission.paces[key] = found
 	}
 	if now-found.turned >= pacingWindow {
-		found.turn(now, Occupancy(ticket.Selection, now), target(ticket.Scope.Priority))
+		found.turn(now, Occupancy(ticket.Selection, now), pacedadmission.target(ticket.Scope.Priority, now))
 	}
 	if found.take(now) {
 		return nil
@@ -70,9 +74,16 @@
 	return &Refusal{Reason: "the replicas of scope " + ticket.Scope.Name + " are at their load", RetryAfter: found.retryAfter()}
 }
 
-// target returns the occupancy at which a priority is held.
-func target(priority int) float64 {
-	steps := float64(max(topPriority-priority, 0))
+// target returns the occupancy at which a priority is held beside those that
+// are present.
+func (pacedadmission *PacedAdmission) target(priority int, now time.Duration) float64 {
+	highest := priority
+	for present, seen := range pacedadmission.present {
+		if now-seen <= presence {
+			highest = max(highest, present)
+		}
+	}
+	steps := float64(highest - priority)
 	return max(topOccupancy-steps*priorityStep, leastOccupancy)
 }
 
--- a/internal/state/api/peer.go
+++ b/internal/state/api/peer.go
@@ -29,12 +29,17 @@
 	Refutation uint64 `cbor:"4,keyasint"`
 	// Load is the member's count of requests in flight.
 	Load int `cbor:"6,keyasint,omitempty"`
+	// AgeSeconds is how long ago the teller learned that the member failed or
+	// left, so that all forget it at about the same time.
+	AgeSeconds uint32 `cbor:"7,keyasint,omitempty"`
 }
 
 // LeavingMark says that one incarnation of a replica is leaving.
 type LeavingMark struct {
 	Replica     string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
+	// AgeSeconds is how long ago the teller learned it.
+	AgeSeconds uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Stopped names one incarnation of a home that stopped, and its heir.
@@ -42,6 +47,8 @@
 	Home        string `cbor:"1,keyasint"`
 	Incarnation uint64 `cbor:"2,keyasint"`
 	Heir        string `cbor:"3,keyasint"`
+	// AgeSeconds is how long ago the teller learned it.
+	AgeSeconds uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Gossip is the control news that peers pass on.
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -35,9 +35,11 @@
 	IsReader bool
 	// MembersDigest sums up the membership that is known.
 	MembersDigest uint64
-	Marks         []api.LeavingMark
+	Marks         []Learned[api.LeavingMark]
 	// Stopped holds the homes that stopped and named an heir.
-	Stopped []api.Stopped
+	Stopped []Learned[api.Stopped]
+	// Ended holds when this instance learned that a member failed or left.
+	Ended map[string]time.Time
 	// Digest sums up the configuration revisions that are known.
 	Digest uint64
 	// PlatformHeard is when an answer of the platform last reached this
@@ -46,6 +48,12 @@
 	StaleAnswers  int64
 }
 
+// Learned is news and when this instance learned it.
+type Learned[N any] struct {
+	News  N
+	Since time.Time
+}
+
 // Index is one index with the snapshot that new queries read.
 type Index struct {
 	Name      string
