--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -23,6 +23,9 @@
 	if effects.Membership {
 		buildRoles(state, members)
 	}
+	if effects.Rebuild || effects.Membership {
+		state.homes = Homes(members, mergedShards(state.configuration.scopes), state.CellWidth)
+	}
 	state.number++
 	configuration, roles := state.configuration, state.roles
 	return &view.View{
@@ -34,6 +37,7 @@
 		Refused:       configuration.refused,
 		Neighbours:    roles.neighbours,
 		IsReader:      roles.isReader,
+		Homes:         state.homes,
 		Indexes:       configuration.indexes,
 		Scopes:        configuration.scopes,
 		Routes:        configuration.routes,
@@ -233,8 +237,9 @@
 		if received.Index == nil {
 			return
 		}
-		index := view.Index{Name: received.Index.Name, Published: received.Index.Snapshot}
+		index := view.Index{Name: received.Index.Name, Published: received.Index.Snapshot, Positions: make(map[string]int)}
 		for _, shard := range received.Index.Shards {
+			index.Positions[shard.Name] = len(index.Shards)
 			index.Shards = append(index.Shards, view.Shard{
 				Name:     shard.Name,
 				Epoch:    shard.Epoch,
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -27,6 +27,9 @@
 	// ReadersPerFailureDomain is how many instances of a failure domain read
 	// the platform for the others.
 	ReadersPerFailureDomain int
+	// CellWidth is how many shards a home holds, about; 0 where each instance
+	// asks the replicas itself.
+	CellWidth int
 	// InForce holds the newest valid document of each key, deletions too.
 	InForce map[string]api.Received
 	// Refused holds the documents that are newer than those in force.
@@ -49,6 +52,7 @@
 	// Both are kept from View to View until what they follow from changes.
 	configuration configuration
 	roles         roles
+	homes         map[view.ShardKey][]string
 }
 
 // configuration is the part of a View that follows from the documents and
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -32,6 +32,8 @@
 	Run func(ctx context.Context, command api.Command) api.Result
 	// Keep takes the outcomes of a stopping home.
 	Keep func(handover api.Handover)
+	// Cell answers a query for the shards that this instance is the home of.
+	Cell func(ctx context.Context, query api.CellQuery, send func(block api.CellBlock) error)
 }
 
 // Peers is the part of an instance that speaks to the other instances.
@@ -80,7 +82,7 @@
 		news:      mailbox.New[api.Gossip](newsQueueSize),
 		load:      config.Load,
 	}
-	handler := quic.Handler{Call: peers.answer, Datagram: peers.receive}
+	handler := quic.Handler{Call: peers.answer, Cell: peers.answerCell, Datagram: peers.receive}
 	endpoint, err := quic.Listen(config.Settings.PeerAddress, config.TLS, handler, config.Wrap)
 	if err != nil {
 		return nil, err
@@ -188,6 +190,22 @@
 	return api.CallReply{Alive: true}
 }
 
+func (peers *Peers) answerCell(ctx context.Context, query api.CellQuery, send func(block api.CellBlock) error) {
+	peers.homes.Cell(ctx, query, send)
+}
+
+// Ask sends a cell query to the peer at address and passes on its blocks.
+func (peers *Peers) Ask(ctx context.Context, address string, query api.CellQuery, take func(block api.CellBlock)) error {
+	return peers.endpoint.Ask(ctx, address, query, take)
+}
+
+// Warm opens a connection to the peer at address where there is none.
+func (peers *Peers) Warm(ctx context.Context, address string) {
+	if err := peers.endpoint.Warm(ctx, address); err != nil {
+		peers.logger.Debug("connection not opened ahead", zap.Error(err))
+	}
+}
+
 // Call sends one call to the peer at address.
 func (peers *Peers) Call(ctx context.Context, address string, call api.Call) (api.CallReply, error) {
 	return peers.endpoint.Call(ctx, address, call)
--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -161,10 +161,7 @@
 func (relayer *Relayer[C]) judgeReply(replica *view.Replica, reply api.Reply, latency time.Duration) (api.Answer, bool) {
 	traffic := replica.Traffic
 	traffic.ObserveOutcome(reply.Status == api.ReplyDone)
-	if reply.IsLoadKnown {
-		traffic.ReportedLoad.Store(int64(reply.Load))
-		traffic.ReportedAt.Store(int64(view.Since()))
-	}
+	traffic.ObserveReport(reply)
 	if reply.Status == api.ReplyElsewhere {
 		message.ReportLeaving(relayer.Mailbox, replica)
 	}
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -145,6 +145,7 @@
 	}
 	self := instance.self()
 	state := control.NewState(self, instance.settings.Peers.SuspicionTimeout.Duration, instance.startedAt)
+	state.CellWidth = instance.settings.Policy.CellWidth
 	state.ReadersPerFailureDomain = instance.settings.Reading.ReadersPerFailureDomain
 	instance.control = control.New(state, instance.loggers.Part(log.PartControl))
 	instance.peers, err = peer.Listen(peer.Config{
@@ -175,6 +176,7 @@
 		},
 		State:       api.MemberAlive,
 		Incarnation: uint64(instance.startedAt.UnixNano()),
+		Capacity:    instance.settings.Process.Capacity,
 	}
 }
 
@@ -194,7 +196,10 @@
 		return err
 	}
 	instance.control.Start(ctx, control.Peers{Tell: instance.peers.Tell, Refresh: instance.peers.Refresh})
-	instance.peers.Start(ctx, peer.Homes{Run: router.Serve, Keep: home.Keep})
+	instance.peers.Start(ctx, peer.Homes{Run: router.Serve, Keep: home.Keep, Cell: queries.cell})
+	if starter, isStarter := queries.placement.(interface{ Start(ctx context.Context) }); isStarter {
+		starter.Start(ctx)
+	}
 	instance.adapter.StartReader(ctx, instance.settings, instance.control, instance.loggers.Part(log.PartPlatform))
 	commandupstream.NewWatcher(instance.control, instance.links, instance.relays).Start(ctx)
 	relay := &relay{
@@ -213,8 +218,8 @@
 
 // relayCommands builds the way of commands in the callers' own form.
 func (instance *Instance) relayCommands() *commandcaller.Relay {
-	relayer := &commandupstream.Relayer[choice.LeastWait]{
-		Choice:    choice.LeastWait{FailureDomain: instance.settings.FailureDomain},
+	relayer := &commandupstream.Relayer[choice.Soonest]{
+		Choice:    choice.Soonest{FailureDomain: instance.settings.FailureDomain},
 		Links:     instance.relays,
 		Published: instance.control.Published,
 		Mailbox:   instance.control.Mailbox,
--- a/internal/process/instance/policies.go
+++ b/internal/process/instance/policies.go
@@ -1,12 +1,15 @@
 package instance
 
 import (
+	"context"
 	"strings"
 
 	"github.com/pkg/errors"
 
 	"github.com/mimosaspring/mimosaspring/internal/query/caller"
+	"github.com/mimosaspring/mimosaspring/internal/query/peer"
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/choice"
 	"github.com/mimosaspring/mimosaspring/internal/state/settings"
 	wire "github.com/mimosaspring/mimosaspring/internal/wire/http"
@@ -17,17 +20,23 @@
 type queries struct {
 	registrar
 	relay serveCall
+	// cell answers a query of a peer for the shards of this instance.
+	cell serveCell
+	// placement is started with the instance where it has work of its own.
+	placement any
 }
 
+// serveCell answers one cell query.
+type serveCell func(ctx context.Context, query api.CellQuery, send func(block api.CellBlock) error)
+
 // policySets builds the query path under each named set of policies. The sets
 // other than default are baselines to measure against.
 var policySets = map[string]func(*Instance) queries{
 	"default": func(instance *Instance) queries {
-		least := choice.LeastWait{FailureDomain: instance.settings.FailureDomain}
-		return queries{
-			registrar: assemble(instance, choice.LeastWait{}, upstream.NewPercentileHedge(), caller.NewPacedAdmission()),
-			relay:     assembleRelay(instance, least, upstream.TargetHedge{}, caller.AdmitAll{}),
-		}
+		return current(instance, instance.homes())
+	},
+	"direct": func(instance *Instance) queries {
+		return current(instance, upstream.Direct{})
 	},
 	"admitAll": func(instance *Instance) queries {
 		return same(instance, choice.LeastWait{}, upstream.NewPercentileHedge(), caller.AdmitAll{})
@@ -48,19 +57,25 @@
 	return build(instance), nil
 }
 
-// same builds both ways under the same policies.
+// current builds both ways under the policies that serve best.
+func current[P upstream.Placement](instance *Instance, placement P) queries {
+	near := choice.Soonest{FailureDomain: instance.settings.FailureDomain}
+	own := assemble(instance, choice.LeastWait{}, upstream.NewPercentileHedge(), caller.NewPacedAdmission())
+	return assembleRelay(instance, own, near, upstream.TargetHedge{}, caller.AdmitAll{}, placement)
+}
+
+// same builds both ways under the same policies, without homes.
 func same[C upstream.Choice, H upstream.Hedge, A caller.Admission](instance *Instance, choice C, hedge H, admission A) queries {
-	return queries{
-		registrar: assemble(instance, choice, hedge, admission),
-		relay:     assembleRelay(instance, choice, hedge, admission),
-	}
+	own := assemble(instance, choice, hedge, admission)
+	return assembleRelay(instance, own, choice, hedge, admission, upstream.Direct{})
 }
 
 // newFanout returns the query path over one kind of link.
-func newFanout[C upstream.Choice, H upstream.Hedge, L upstream.Link](instance *Instance, choice C, hedge H, links *wire.Links[L]) *upstream.Fanout[C, H, L] {
-	return &upstream.Fanout[C, H, L]{
+func newFanout[C upstream.Choice, H upstream.Hedge, L upstream.Link, P upstream.Placement](instance *Instance, choice C, hedge H, links *wire.Links[L], placement P) *upstream.Fanout[C, H, L, P] {
+	return &upstream.Fanout[C, H, L, P]{
 		Choice:    choice,
 		Hedge:     hedge,
+		Placement: placement,
 		Links:     links,
 		Published: instance.control.Published,
 		Mailbox:   instance.control.Mailbox,
@@ -69,24 +84,33 @@
 	}
 }
 
+// homes returns the placement of shards at their homes.
+func (instance *Instance) homes() *peer.Homes {
+	return &peer.Homes{Send: instance.peers.Ask, Warm: instance.peers.Warm, Published: instance.control.Published}
+}
+
 // assemble builds the way of queries in the own form.
 func assemble[C upstream.Choice, H upstream.Hedge, A caller.Admission](instance *Instance, choice C, hedge H, admission A) registrar {
 	return &caller.Handler[A]{
 		Admission: admission,
 		Published: instance.control.Published,
-		Run:       newFanout(instance, choice, hedge, instance.links).Run,
+		Run:       newFanout(instance, choice, hedge, instance.links, upstream.Direct{}).Run,
 		Metrics:   instance.metrics,
 		KeepTime:  instance.settings.Callers.KeepTime.Duration,
 	}
 }
 
-// assembleRelay builds the way of queries in the callers' own form.
-func assembleRelay[C upstream.Choice, H upstream.Hedge, A caller.Admission](instance *Instance, choice C, hedge H, admission A) serveCall {
+// assembleRelay builds the way of queries in the callers' own form, beside own.
+func assembleRelay[C upstream.Choice, H upstream.Hedge, A caller.Admission, P upstream.Placement](instance *Instance, own registrar, choice C, hedge H, admission A, placement P) queries {
 	relay := &caller.Relay[A]{
 		Admission:    admission,
-		Run:          newFanout(instance, choice, hedge, instance.relays).Run,
+		Run:          newFanout(instance, choice, hedge, instance.relays, placement).Run,
 		Metrics:      instance.metrics,
 		TargetMargin: instance.settings.Callers.TargetMargin.Duration,
 	}
-	return relay.Serve
+	server := &peer.Server{
+		Published: instance.control.Published,
+		Run:       newFanout(instance, choice, hedge, instance.relays, upstream.Direct{}).RunCell,
+	}
+	return queries{registrar: own, relay: relay.Serve, cell: server.Serve, placement: placement}
 }
--- /dev/null
+++ b/internal/query/peer/homes.go
@@ -0,0 +1,183 @@
+// Package peer asks the homes of shards for their parts of a query, and
+// answers for the shards that this instance is the home of.
+package peer
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
+)
+
+const (
+	// doubtTime is how long a home that failed a query is passed over before
+	// one query tries it again. Membership takes about as long to notice.
+	doubtTime = time.Second
+	// warmInterval is the time between two looks at the connections to homes.
+	warmInterval = 500 * time.Millisecond
+)
+
+// Homes places the shards of merged queries at their homes. A home that fails
+// is passed over for a while: its stand-by is asked, or the replicas are.
+type Homes struct {
+	// Send sends a query to the peer at address and passes on its blocks.
+	Send func(ctx context.Context, address string, query api.CellQuery, take func(block api.CellBlock)) error
+	// Warm opens a connection to the peer at address where there is none.
+	Warm      func(ctx context.Context, address string)
+	Published *view.Published
+
+	doubts sync.Map
+}
+
+// doubt is what is held against one peer.
+type doubt struct {
+	// until is when the peer may be tried again, in nanoseconds since
+	// view.Epoch; 0 where it is not in doubt.
+	until atomic.Int64
+	// isTrying is set while one query tries the peer again.
+	isTrying atomic.Bool
+}
+
+// Start keeps the connections to homes open until ctx ends.
+func (homes *Homes) Start(ctx context.Context) { go homes.run(ctx) }
+
+func (homes *Homes) run(ctx context.Context) {
+	ticker := time.NewTicker(warmInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			homes.warm(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (homes *Homes) warm(ctx context.Context) {
+	current := homes.Published.Load()
+	names := make(map[string]bool)
+	for _, members := range current.Homes {
+		names[members[0]] = true
+	}
+	delete(names, current.Self.Instance.Name)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		homes.Warm(ctx, current.Members[name].Instance.PeerAddress)
+	}
+}
+
+// Place groups the shards of a merged query by the first of their homes that
+// is not in doubt.
+func (homes *Homes) Place(request *upstream.Request) ([]view.Shard, []upstream.Group) {
+	shards := request.Selection.Shards
+	isPlaced := request.Scope.Form == api.FormMerged && request.Scope.MaxAttempts != 1
+	if !isPlaced || len(request.View.Homes) == 0 {
+		return shards, nil
+	}
+	placing := placing{homes: homes, current: request.View, usable: make(map[string]bool)}
+	var local []view.Shard
+	groups := make(map[string][]view.Shard)
+	for _, shard := range shards {
+		key := view.ShardKey{Index: request.Scope.Index, Shard: shard.Name}
+		name := placing.choose(request.View.Homes[key])
+		if name == "" || name == request.View.Self.Instance.Name {
+			local = append(local, shard)
+			continue
+		}
+		groups[name] = append(groups[name], shard)
+	}
+	var placed []upstream.Group
+	for name, shards := range groups {
+		placed = append(placed, upstream.Group{Peer: request.View.Members[name], Shards: shards})
+	}
+	return local, placed
+}
+
+// placing is the placement of one query.
+type placing struct {
+	homes   *Homes
+	current *view.View
+	// usable holds the verdict on each peer, which is taken once a query.
+	usable map[string]bool
+}
+
+func (placing *placing) choose(members []string) string {
+	for _, name := range members {
+		if name == placing.current.Self.Instance.Name {
+			return name
+		}
+		isUsable, isKnown := placing.usable[name]
+		if !isKnown {
+			isUsable = placing.current.Members[name].State == api.MemberAlive && placing.homes.isUsable(name)
+			placing.usable[name] = isUsable
+		}
+		if isUsable {
+			return name
+		}
+	}
+	return ""
+}
+
+// isUsable reports whether a peer is not in doubt, or whether this query is
+// the one that tries it again.
+func (homes *Homes) isUsable(name string) bool {
+	known, isKnown := homes.doubts.Load(name)
+	if !isKnown {
+		return true
+	}
+	doubt := known.(*doubt)
+	until := doubt.until.Load()
+	if until == 0 {
+		return true
+	}
+	return until < int64(view.Since()) && doubt.isTrying.CompareAndSwap(false, true)
+}
+
+// Ask sends a query to the peer of a group, and notes whether it failed.
+func (homes *Homes) Ask(ctx context.Context, group upstream.Group, query api.CellQuery, take func(block api.CellBlock)) error {
+	name := group.Peer.Instance.Name
+	isHeard := false
+	err := homes.Send(ctx, group.Peer.Instance.PeerAddress, query, func(block api.CellBlock) {
+		if !isHeard {
+			isHeard = true
+			homes.clear(name)
+		}
+		take(block)
+	})
+	switch {
+	case err == nil || isHeard:
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), upstream.ErrSilent):
+		// The query ended before the peer could show that it is alive.
+		homes.release(name)
+	default:
+		homes.suspect(name)
+	}
+	return err
+}
+
+func (homes *Homes) clear(name string) {
+	if known, isKnown := homes.doubts.Load(name); isKnown {
+		known.(*doubt).until.Store(0)
+		known.(*doubt).isTrying.Store(false)
+	}
+}
+
+func (homes *Homes) release(name string) {
+	if known, isKnown := homes.doubts.Load(name); isKnown {
+		known.(*doubt).isTrying.Store(false)
+	}
+}
+
+func (homes *Homes) suspect(name string) {
+	known, _ := homes.doubts.LoadOrStore(name, &doubt{})
+	known.(*doubt).until.Store(int64(view.Since() + doubtTime))
+	known.(*doubt).isTrying.Store(false)
+}
--- /dev/null
+++ b/internal/query/peer/server.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
+)
+
+// Server answers cell queries for the shards that this instance is asked for,
+// whether or not it is their home in its own View.
+type Server struct {
+	Published *view.Published
+	// Run gathers the parts of a request's shards; unknown holds the shards
+	// that this instance cannot ask.
+	Run func(ctx context.Context, request upstream.Request, unknown []api.Missing, send func(block api.CellBlock) error)
+}
+
+// Serve answers one query. It ends with ctx.
+func (server *Server) Serve(ctx context.Context, query api.CellQuery, send func(block api.CellBlock) error) {
+	now := time.Now()
+	ctx, cancel := context.WithDeadline(ctx, now.Add(query.DeadlineLeft))
+	defer cancel()
+	current := server.Published.Current(ctx)
+	shards, unknown := find(current.Indexes[query.Index], query)
+	request := upstream.Request{
+		View: current,
+		Scope: api.Scope{
+			Index:       query.Index,
+			Form:        query.Form,
+			TopK:        query.TopK,
+			MaxAttempts: query.MaxAttempts,
+		},
+		Selection: view.Selection{Shards: shards},
+		Relayed:   &query.Relayed,
+		Deadline:  now.Add(query.DeadlineLeft),
+	}
+	if query.TargetLeft > 0 {
+		request.Target = now.Add(query.TargetLeft)
+	}
+	server.Run(ctx, request, unknown, send)
+}
+
+// find returns the shards of query in the epochs that it names, and those that
+// index does not have so.
+func find(index view.Index, query api.CellQuery) ([]view.Shard, []api.Missing) {
+	var shards []view.Shard
+	var unknown []api.Missing
+	for number, name := range query.Shards {
+		position, isKnown := index.Positions[name]
+		isSame := isKnown && number < len(query.Epochs) && index.Shards[position].Epoch == query.Epochs[number]
+		if !isSame || len(index.Shards[position].Replicas) == 0 {
+			unknown = append(unknown, api.Missing{Shard: name, Reason: api.MissingMoved})
+			continue
+		}
+		shards = append(shards, index.Shards[position])
+	}
+	return shards, unknown
+}
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -25,17 +25,17 @@
 }
 
 // attempt is one request to one replica.
-type attempt[C Choice, H Hedge, L Link] struct {
-	fetch   *fetch[C, H, L]
+type attempt[C Choice, H Hedge, L Link, P Placement] struct {
+	fetch   *fetch[C, H, L, P]
 	ctx     context.Context
 	replica *view.Replica
 }
 
-func (attempt *attempt[C, H, L]) run() { attempt.fetch.attempts <- attempt.send() }
+func (attempt *attempt[C, H, L, P]) run() { attempt.fetch.attempts <- attempt.send() }
 
 // send sends the attempt, unless its replica began to leave since it was
 // chosen. It waits first where this process was paused.
-func (attempt *attempt[C, H, L]) send() attemptResult {
+func (attempt *attempt[C, H, L, P]) send() attemptResult {
 	pass := attempt.fetch.pass
 	pass.fanout.Published.Current(attempt.ctx)
 	traffic := attempt.replica.Traffic
@@ -62,7 +62,7 @@
 
 // watch starts the check for a silent connection where the link's connection
 // can be checked beside an attempt.
-func (attempt *attempt[C, H, L]) watch(link L, start time.Duration) *time.Timer {
+func (attempt *attempt[C, H, L, P]) watch(link L, start time.Duration) *time.Timer {
 	checked := link.Checked()
 	if checked == nil {
 		return nil
@@ -72,7 +72,7 @@
 	return time.AfterFunc(after, watch.run)
 }
 
-func (attempt *attempt[C, H, L]) message() api.Attempt {
+func (attempt *attempt[C, H, L, P]) message() api.Attempt {
 	fetch := attempt.fetch
 	message := api.Attempt{
 		Shard:    fetch.shard.Name,
@@ -96,7 +96,7 @@
 	setAsideTime       = time.Second
 )
 
-func (attempt *attempt[C, H, L]) judgeError(err error, latency time.Duration) attemptResult {
+func (attempt *attempt[C, H, L, P]) judgeError(err error, latency time.Duration) attemptResult {
 	traffic := attempt.replica.Traffic
 	var senderror *http.SendError
 	isNotRun := errors.As(err, &senderror) && !senderror.MayHaveRun
@@ -115,20 +115,17 @@
 }
 
 // observe tells control what the reply says of its replica.
-func (attempt *attempt[C, H, L]) observe(reply api.Reply) {
+func (attempt *attempt[C, H, L, P]) observe(reply api.Reply) {
 	replica := attempt.replica
 	mailbox := attempt.fetch.pass.fanout.Mailbox
-	if reply.IsLoadKnown {
-		replica.Traffic.ReportedLoad.Store(int64(reply.Load))
-		replica.Traffic.ReportedAt.Store(int64(view.Since()))
-	}
+	replica.Traffic.ObserveReport(reply)
 	if reply.Leaving || reply.Status == api.ReplyElsewhere {
 		message.ReportLeaving(mailbox, replica)
 	}
 	message.ReportHeld(mailbox, replica, reply.Held)
 }
 
-func (attempt *attempt[C, H, L]) judgeReply(reply api.Reply, latency time.Duration) attemptResult {
+func (attempt *attempt[C, H, L, P]) judgeReply(reply api.Reply, latency time.Duration) attemptResult {
 	fetch := attempt.fetch
 	traffic := attempt.replica.Traffic
 	if reply.Status.IsNotRun() {
@@ -149,7 +146,7 @@
 	return attemptResult{reason: api.MissingRefused, isNotRun: true}
 }
 
-func (attempt *attempt[C, H, L]) take(reply api.Reply, latency time.Duration) attemptResult {
+func (attempt *attempt[C, H, L, P]) take(reply api.Reply, latency time.Duration) attemptResult {
 	fetch := attempt.fetch
 	part := api.Part{
 		Shard:     fetch.shard.Name,
@@ -179,7 +176,7 @@
 
 // movedEpoch asks for a restart where a newer View has another epoch of the
 // shard, or none.
-func (fetch *fetch[C, H, L]) movedEpoch() newer {
+func (fetch *fetch[C, H, L, P]) movedEpoch() newer {
 	index := fetch.pass.fanout.Published.Load().Indexes[fetch.pass.request.Scope.Index]
 	for _, shard := range index.Shards {
 		if shard.Name == fetch.shard.Name {
--- a/internal/query/upstream/fanout.go
+++ b/internal/query/upstream/fanout.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
@@ -36,9 +35,10 @@
 
 // Fanout runs queries on the replicas, under the given policies and over the
 // given kind of link.
-type Fanout[C Choice, H Hedge, L Link] struct {
+type Fanout[C Choice, H Hedge, L Link, P Placement] struct {
 	Choice    C
 	Hedge     H
+	Placement P
 	Links     *http.Links[L]
 	Published *view.Published
 	Mailbox   *mailbox.Mailbox[message.Message]
@@ -48,7 +48,7 @@
 
 // Run runs a query. Where a shard has moved past the pinned snapshot or
 // epoch, it starts once more on the newest.
-func (fanout *Fanout[C, H, L]) Run(ctx context.Context, request Request) api.Answer {
+func (fanout *Fanout[C, H, L, P]) Run(ctx context.Context, request Request) api.Answer {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline.Add(-replyMargin))
 	defer cancel()
 	snapshot := request.View.Indexes[request.Scope.Index].Snapshot
@@ -73,7 +73,7 @@
 
 // renew pins request to the newest View, and to the newest snapshot that
 // either the View or a replica named.
-func (fanout *Fanout[C, H, L]) renew(request Request, snapshot uint64, newer newer) (Request, uint64) {
+func (fanout *Fanout[C, H, L, P]) renew(request Request, snapshot uint64, newer newer) (Request, uint64) {
 	current := fanout.Published.Load()
 	scope, isKnown := current.Scopes[request.Scope.Name]
 	selection, isSelected := scope.Selections[request.Query.Kind]
@@ -88,127 +88,19 @@
 // finish gives the answer its outcome. A query that did not reach the scope's
 // least coverage ran nowhere only where every attempt proved that.
 func finish(request Request, answer api.Answer) api.Answer {
-	if answer.Coverage.Included > 0 && answer.Coverage.Share() >= request.Scope.MinCoverage {
-		answer.Outcome = api.OutcomeDone
-		merge(request.Scope, &answer)
-		return answer
-	}
 	isEmptyAllowed := request.Scope.MinCoverage == 0 && request.Relayed == nil
-	if isEmptyAllowed {
+	isCovered := answer.Coverage.Included > 0 && answer.Coverage.Share() >= request.Scope.MinCoverage
+	if isCovered || isEmptyAllowed {
 		answer.Outcome = api.OutcomeDone
 		return answer
 	}
 	answer.Outcome = api.OutcomeUnknown
 	answer.Reason = "coverage below the scope's minCoverage"
 	answer.Parts = nil
+	answer.Records = nil
 	return answer
 }
 
-// pass is one try to ask every selected shard once under one snapshot.
-type pass[C Choice, H Hedge, L Link] struct {
-	fanout  *Fanout[C, H, L]
-	request Request
-	pin     Pin
-	body    []byte
-	// mayRestart ends the pass when a shard has moved on.
-	mayRestart bool
-	results    chan shardResult
-	// sent counts the attempts that were sent.
-	sent atomic.Int64
-	// unproved counts the attempts that were sent and are not proved not to
-	// have run.
-	unproved atomic.Int64
-	// failed is a replica's own failure of a relayed request.
-	failed *api.Response
-}
-
-func (fanout *Fanout[C, H, L]) newPass(request Request, snapshot uint64) *pass[C, H, L] {
-	shards := request.Selection.Shards
-	return &pass[C, H, L]{
-		fanout:  fanout,
-		request: request,
-		pin:     newPin(request.Scope, snapshot, shards),
-		body:    encodeText(request),
-		results: make(chan shardResult, len(shards)),
-	}
-}
-
-// run asks every shard and gathers the parts until all have answered, or the
-// answer is worth more now than with the parts that are missing.
-func (pass *pass[C, H, L]) run(ctx context.Context) (api.Answer, newer) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(api.ErrAnswered)
-	for _, shard := range pass.request.Selection.Shards {
-		fetch := &fetch[C, H, L]{pass: pass, ctx: ctx, shard: shard}
-		go fetch.run()
-	}
-	gather := NewGather(pass.pin)
-	cutOff := pass.cutOffTimer()
-	defer cutOff.Stop()
-	isLate := false
-	for !gather.IsComplete() && !(isLate && pass.isEnough(gather)) {
-		select {
-		case result := <-pass.results:
-			if pass.mayRestart && result.newer.isSet {
-				return api.Answer{}, result.newer
-			}
-			pass.take(gather, result)
-		case <-cutOff.C:
-			isLate = true
-		case <-ctx.Done():
-			answer := pass.answer(gather)
-			answer.IsLate = true
-			return answer, newer{}
-		}
-	}
-	return pass.answer(gather), newer{}
-}
-
-// cutOffTimer fires when an answer with the least coverage is worth more than
-// a whole one later.
-func (pass *pass[C, H, L]) cutOffTimer() *time.Timer {
-	if pass.request.Target.IsZero() || pass.request.Scope.Form == api.FormRelayed {
-		return stoppedTimer()
-	}
-	return time.NewTimer(time.Until(pass.request.Target))
-}
-
-func (pass *pass[C, H, L]) isEnough(gather *Gather) bool {
-	coverage := gather.Share()
-	return coverage > 0 && coverage >= pass.request.Scope.MinCoverage
-}
-
-func newPin(scope api.Scope, snapshot uint64, shards []view.Shard) Pin {
-	pin := Pin{Form: scope.Form, Snapshot: snapshot, Epochs: make(map[string]uint64, len(shards))}
-	for _, shard := range shards {
-		pin.Epochs[shard.Name] = shard.Epoch
-	}
-	return pin
-}
-
-func (pass *pass[C, H, L]) take(gather *Gather, result shardResult) {
-	if result.reason != "" {
-		gather.Miss(result.shard, result.reason)
-		pass.failed = result.part.Response
-		return
-	}
-	if err := gather.Add(result.part); err != nil {
-		pass.fanout.Metrics.Add("parts.foreign", 1)
-		gather.Miss(result.shard, api.MissingFailed)
-	}
-}
-
-func (pass *pass[C, H, L]) answer(gather *Gather) api.Answer {
-	return api.Answer{
-		Snapshot:     pass.pin.Snapshot,
-		Coverage:     gather.Coverage(),
-		Parts:        gather.Parts(),
-		SentRequests: int(pass.sent.Load()),
-		IsNotRun:     pass.unproved.Load() == 0,
-		Response:     pass.failed,
-	}
-}
-
 // encodeText writes a query's text as replicas of the own protocol read it.
 func encodeText(request Request) []byte {
 	if request.Relayed != nil {
--- a/internal/query/upstream/fetch.go
+++ b/internal/query/upstream/fetch.go
@@ -25,20 +25,13 @@
 	retryPart = 1
 )
 
-// shardResult is what one shard adds to an answer: a part, or the reason for
-// which it is missing.
-type shardResult struct {
-	shard  string
-	part   api.Part
-	reason api.MissingReason
-	newer  newer
-}
-
 // fetch asks one shard in one pass.
-type fetch[C Choice, H Hedge, L Link] struct {
-	pass  *pass[C, H, L]
+type fetch[C Choice, H Hedge, L Link, P Placement] struct {
+	pass  *pass[C, H, L, P]
 	ctx   context.Context
 	shard view.Shard
+	// isRepeat is set where a home may have asked the shard already.
+	isRepeat bool
 
 	attempts chan attemptResult
 	// silent names replicas whose connection was silent and is renewed.
@@ -60,15 +53,14 @@
 }
 
 // run asks replicas until one answers, none is left or the time is up.
-func (fetch *fetch[C, H, L]) run() {
+func (fetch *fetch[C, H, L, P]) run() {
 	ctx, cancel := context.WithCancelCause(fetch.ctx)
 	defer cancel(api.ErrAnswered)
 	fetch.attempts = make(chan attemptResult, maxAttempts)
 	fetch.silent = make(chan *view.Replica, maxAttempts)
 	fetch.worst.reason = api.MissingNoReplica
 	fanout := fetch.pass.fanout
-	fanout.Budget.First(fetch.shard.Upstream.Name)
-	if !fetch.start(ctx) {
+	if !fetch.begin(ctx) {
 		fetch.miss()
 		return
 	}
@@ -80,8 +72,19 @@
 	fetch.loop(ctx)
 }
 
+// begin starts the first attempt. One that repeats what a home may have sent
+// counts as a further one.
+func (fetch *fetch[C, H, L, P]) begin(ctx context.Context) bool {
+	if fetch.isRepeat {
+		fetch.counted = 1
+		return fetch.startAgain(ctx)
+	}
+	fetch.pass.fanout.Budget.First(fetch.shard.Upstream.Name)
+	return fetch.start(ctx)
+}
+
 // loop takes the attempts' results and starts more attempts as needed.
-func (fetch *fetch[C, H, L]) loop(ctx context.Context) {
+func (fetch *fetch[C, H, L, P]) loop(ctx context.Context) {
 	isWaiting := false
 	for fetch.pending > 0 || isWaiting {
 		select {
@@ -114,7 +117,7 @@
 
 // accept passes on the part of an answered attempt. It reports false where
 // the attempt brought none.
-func (fetch *fetch[C, H, L]) accept(result attemptResult) bool {
+func (fetch *fetch[C, H, L, P]) accept(result attemptResult) bool {
 	if result.reason == "" {
 		fetch.pass.results <- shardResult{shard: fetch.shard.Name, part: result.part}
 		return true
@@ -132,7 +135,7 @@
 	return false
 }
 
-func (fetch *fetch[C, H, L]) miss() {
+func (fetch *fetch[C, H, L, P]) miss() {
 	result := shardResult{shard: fetch.shard.Name, reason: fetch.worst.reason, newer: fetch.worst.newer}
 	if fetch.pass.request.Scope.Form == api.FormRelayed {
 		// The replica's own failure is the answer.
@@ -142,7 +145,7 @@
 }
 
 // mayStart reports whether the shard may be sent one more attempt.
-func (fetch *fetch[C, H, L]) mayStart() bool {
+func (fetch *fetch[C, H, L, P]) mayStart() bool {
 	most := maxAttempts
 	if scope := fetch.pass.request.Scope; scope.MaxAttempts > 0 {
 		most = scope.MaxAttempts
@@ -152,7 +155,7 @@
 
 // retry starts another attempt after one that brought no part. Where every
 // replica refused it reports true and asks them again after a pause.
-func (fetch *fetch[C, H, L]) retry(ctx context.Context) bool {
+func (fetch *fetch[C, H, L, P]) retry(ctx context.Context) bool {
 	if !fetch.mayStart() {
 		return false
 	}
@@ -165,7 +168,7 @@
 }
 
 // startAgain starts an attempt beyond the first, where the budget allows.
-func (fetch *fetch[C, H, L]) startAgain(ctx context.Context) bool {
+func (fetch *fetch[C, H, L, P]) startAgain(ctx context.Context) bool {
 	if !fetch.mayStart() || len(fetch.usable()) == 0 {
 		return false
 	}
@@ -178,7 +181,7 @@
 
 // hedge sends a second attempt to another replica, where the budget allows.
 // Where it does not, the hedge comes once more after twice the delay.
-func (fetch *fetch[C, H, L]) hedge(ctx context.Context) {
+func (fetch *fetch[C, H, L, P]) hedge(ctx context.Context) {
 	replicas := fetch.usable()
 	if !fetch.mayStart() || len(replicas) == 0 {
 		return
@@ -196,7 +199,7 @@
 }
 
 // hedgeLater puts the second attempt off once.
-func (fetch *fetch[C, H, L]) hedgeLater() {
+func (fetch *fetch[C, H, L, P]) hedgeLater() {
 	if fetch.isLate {
 		return
 	}
@@ -205,7 +208,7 @@
 }
 
 // armHedge starts the timer of the second attempt.
-func (fetch *fetch[C, H, L]) armHedge() {
+func (fetch *fetch[C, H, L, P]) armHedge() {
 	fetch.hedging = stoppedTimer()
 	after, isSet := fetch.pass.fanout.Hedge.After(&fetch.pass.request, fetch.shard)
 	if isSet {
@@ -216,7 +219,7 @@
 
 // start starts an attempt on a replica that was not tried. It reports false
 // where there is none.
-func (fetch *fetch[C, H, L]) start(ctx context.Context) bool {
+func (fetch *fetch[C, H, L, P]) start(ctx context.Context) bool {
 	replicas := fetch.usable()
 	if len(replicas) == 0 {
 		return false
@@ -227,20 +230,20 @@
 	return true
 }
 
-func (fetch *fetch[C, H, L]) send(ctx context.Context, replica *view.Replica) {
+func (fetch *fetch[C, H, L, P]) send(ctx context.Context, replica *view.Replica) {
 	if fetch.started >= maxAttempts {
 		return
 	}
 	fetch.pending++
 	fetch.started++
 	fetch.counted++
-	attempt := &attempt[C, H, L]{fetch: fetch, ctx: ctx, replica: replica}
+	attempt := &attempt[C, H, L, P]{fetch: fetch, ctx: ctx, replica: replica}
 	go attempt.run()
 }
 
 // usable returns the replicas that were not tried and are not leaving. It
 // leaves out those set aside for failures unless there is no other.
-func (fetch *fetch[C, H, L]) usable() []*view.Replica {
+func (fetch *fetch[C, H, L, P]) usable() []*view.Replica {
 	var healthy, failing []*view.Replica
 	now := view.Since()
 	for _, replica := range fetch.shard.Replicas {
--- a/internal/query/upstream/gather.go
+++ b/internal/query/upstream/gather.go
@@ -27,6 +27,8 @@
 	pin     Pin
 	parts   map[string]api.Part
 	missing map[string]api.MissingReason
+	// bodies holds the records of all parts; those of a block are merged.
+	bodies [][]byte
 }
 
 // ErrForeignPart reports a part of another snapshot, epoch or shard.
@@ -47,9 +49,34 @@
 		return nil
 	}
 	gather.parts[part.Shard] = part
+	delete(gather.missing, part.Shard)
+	gather.bodies = append(gather.bodies, part.Body)
 	return nil
 }
 
+// AddBlock takes parts whose records were merged into one body. It takes all
+// of them or none: where one shard has a part already, the block's records
+// would count some of its records twice.
+func (gather *Gather) AddBlock(parts []api.Part, records []byte) error {
+	for _, part := range parts {
+		if err := gather.pin.Check(part); err != nil {
+			return err
+		}
+		if _, isKnown := gather.parts[part.Shard]; isKnown {
+			return errors.WithStack(ErrOverlap)
+		}
+	}
+	for _, part := range parts {
+		gather.parts[part.Shard] = part
+		delete(gather.missing, part.Shard)
+	}
+	gather.bodies = append(gather.bodies, records)
+	return nil
+}
+
+// ErrOverlap reports a block with a shard that has a part already.
+var ErrOverlap = errors.New("block with a shard that has a part already")
+
 // Check returns ErrForeignPart for a part that does not agree with the pin.
 func (pin Pin) Check(part api.Part) error {
 	epoch, isSelected := pin.Epochs[part.Shard]
@@ -64,7 +91,14 @@
 }
 
 // Miss records why a shard is missing.
-func (gather *Gather) Miss(shard string, reason api.MissingReason) { gather.missing[shard] = reason }
+func (gather *Gather) Miss(shard string, reason api.MissingReason) {
+	if _, isKnown := gather.parts[shard]; !isKnown {
+		gather.missing[shard] = reason
+	}
+}
+
+// Records returns the greatest records of all parts, at most so many.
+func (gather *Gather) Records(most int) []byte { return Greatest(gather.bodies, most) }
 
 // IsComplete reports whether every selected shard has a part or a reason.
 func (gather *Gather) IsComplete() bool {
--- a/internal/query/upstream/merge.go
+++ b/internal/query/upstream/merge.go
@@ -11,21 +11,21 @@
 // part is no record.
 const RecordBytes = 16
 
-// merge puts together what a merged or relayed answer holds beside its
-// coverage.
-func merge(scope api.Scope, answer *api.Answer) {
+// fill puts what gather holds into answer, in the form of the scope.
+func fill(answer *api.Answer, scope api.Scope, gather *Gather) {
+	parts := gather.Parts()
 	switch scope.Form {
 	case api.FormMerged:
-		bodies := make([][]byte, 0, len(answer.Parts))
-		for _, part := range answer.Parts {
-			bodies = append(bodies, part.Body)
+		for _, part := range parts {
 			answer.Signatures = append(answer.Signatures, part.Signature)
 		}
-		answer.Records = Greatest(bodies, scope.TopK)
-		answer.Parts = nil
+		answer.Records = gather.Records(scope.TopK)
 	case api.FormRelayed:
-		answer.Response = answer.Parts[0].Response
-		answer.Parts = nil
+		if len(parts) > 0 {
+			answer.Response = parts[0].Response
+		}
+	default:
+		answer.Parts = parts
 	}
 }
 
--- /dev/null
+++ b/internal/query/upstream/pass.go
@@ -0,0 +1,148 @@
+package upstream
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
+)
+
+// blocksOfHome bounds the blocks that one home sends.
+const blocksOfHome = 8
+
+// pass is one try to ask every selected shard once under one snapshot.
+type pass[C Choice, H Hedge, L Link, P Placement] struct {
+	fanout  *Fanout[C, H, L, P]
+	request Request
+	pin     Pin
+	body    []byte
+	// mayRestart ends the pass when a shard has moved on.
+	mayRestart bool
+	results    chan shardResult
+	// sent counts the attempts that were sent.
+	sent atomic.Int64
+	// unproved counts the attempts, and queries to homes, that were sent and
+	// are not proved not to have run.
+	unproved atomic.Int64
+	// failed is a replica's own failure of a relayed request.
+	failed *api.Response
+}
+
+// shardResult is what one shard, or a block of several, adds to an answer:
+// parts, or the reason for which one is missing.
+type shardResult struct {
+	// shard names the missing shard.
+	shard  string
+	reason api.MissingReason
+	newer  newer
+	part   api.Part
+	// block holds the parts whose records were merged into records.
+	block   []api.Part
+	records []byte
+}
+
+func (fanout *Fanout[C, H, L, P]) newPass(request Request, snapshot uint64) *pass[C, H, L, P] {
+	shards := request.Selection.Shards
+	return &pass[C, H, L, P]{
+		fanout:  fanout,
+		request: request,
+		pin:     newPin(request.Scope, snapshot, shards),
+		body:    encodeText(request),
+		results: make(chan shardResult, blocksOfHome*len(shards)),
+	}
+}
+
+func newPin(scope api.Scope, snapshot uint64, shards []view.Shard) Pin {
+	pin := Pin{Form: scope.Form, Snapshot: snapshot, Epochs: make(map[string]uint64, len(shards))}
+	for _, shard := range shards {
+		pin.Epochs[shard.Name] = shard.Epoch
+	}
+	return pin
+}
+
+// launch asks all shards: those of this instance at their replicas, the others
+// at their homes.
+func (pass *pass[C, H, L, P]) launch(ctx context.Context) {
+	local, groups := pass.fanout.Placement.Place(&pass.request)
+	for _, group := range groups {
+		errand := &errand[C, H, L, P]{pass: pass, ctx: ctx, group: group}
+		go errand.run()
+	}
+	for _, shard := range local {
+		fetch := &fetch[C, H, L, P]{pass: pass, ctx: ctx, shard: shard}
+		go fetch.run()
+	}
+}
+
+// run asks every shard and gathers the parts until all have answered, or the
+// answer is worth more now than with the parts that are missing.
+func (pass *pass[C, H, L, P]) run(ctx context.Context) (api.Answer, newer) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(api.ErrAnswered)
+	pass.launch(ctx)
+	gather := NewGather(pass.pin)
+	cutOff := pass.cutOffTimer()
+	defer cutOff.Stop()
+	isLate := false
+	for !gather.IsComplete() && !(isLate && pass.isEnough(gather)) {
+		select {
+		case result := <-pass.results:
+			if pass.mayRestart && result.newer.isSet {
+				return api.Answer{}, result.newer
+			}
+			pass.take(gather, result)
+		case <-cutOff.C:
+			isLate = true
+		case <-ctx.Done():
+			answer := pass.answer(gather)
+			answer.IsLate = true
+			return answer, newer{}
+		}
+	}
+	return pass.answer(gather), newer{}
+}
+
+// cutOffTimer fires when an answer with the least coverage is worth more than
+// a whole one later.
+func (pass *pass[C, H, L, P]) cutOffTimer() *time.Timer {
+	if pass.request.Target.IsZero() || pass.request.Scope.Form == api.FormRelayed {
+		return stoppedTimer()
+	}
+	return time.NewTimer(time.Until(pass.request.Target))
+}
+
+func (pass *pass[C, H, L, P]) isEnough(gather *Gather) bool {
+	coverage := gather.Share()
+	return coverage > 0 && coverage >= pass.request.Scope.MinCoverage
+}
+
+func (pass *pass[C, H, L, P]) take(gather *Gather, result shardResult) {
+	switch {
+	case len(result.block) > 0:
+		if err := gather.AddBlock(result.block, result.records); err != nil {
+			pass.fanout.Metrics.Add("blocks.foreign", 1)
+		}
+	case result.reason != "":
+		gather.Miss(result.shard, result.reason)
+		pass.failed = result.part.Response
+	default:
+		if err := gather.Add(result.part); err != nil {
+			pass.fanout.Metrics.Add("parts.foreign", 1)
+			gather.Miss(result.shard, api.MissingFailed)
+		}
+	}
+}
+
+func (pass *pass[C, H, L, P]) answer(gather *Gather) api.Answer {
+	answer := api.Answer{
+		Snapshot:     pass.pin.Snapshot,
+		Coverage:     gather.Coverage(),
+		SentRequests: int(pass.sent.Load()),
+		IsNotRun:     pass.unproved.Load() == 0,
+		Response:     pass.failed,
+	}
+	fill(&answer, pass.request.Scope, gather)
+	return answer
+}
--- /dev/null
+++ b/internal/state/api/cell.go
@@ -0,0 +1,44 @@
+package api
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNotSent says that a peer did not get a query.
+var ErrNotSent = errors.New("the peer did not get the query")
+
+// CellQuery asks the home of some shards for their parts of one query.
+type CellQuery struct {
+	Index  string   `cbor:"1,keyasint"`
+	Shards []string `cbor:"2,keyasint"`
+	// Epochs holds the epochs of Shards.
+	Epochs      []uint64 `cbor:"3,keyasint"`
+	Form        Form     `cbor:"4,keyasint"`
+	TopK        int      `cbor:"5,keyasint,omitempty"`
+	MaxAttempts int      `cbor:"6,keyasint,omitempty"`
+	Relayed     Relayed  `cbor:"7,keyasint"`
+	// TargetLeft is the time until the answer is worth most; 0 where there is
+	// no such time.
+	TargetLeft time.Duration `cbor:"8,keyasint,omitempty"`
+	// DeadlineLeft is the time until the caller gives up.
+	DeadlineLeft time.Duration `cbor:"9,keyasint"`
+}
+
+// CellBlock is what a home has of a query so far: parts that no earlier block
+// of the query held.
+type CellBlock struct {
+	// Shards names the shards whose parts Records was merged from.
+	Shards []string `cbor:"1,keyasint,omitempty"`
+	// Signatures holds those of the parts, in the order of Shards.
+	Signatures []string `cbor:"2,keyasint,omitempty"`
+	// Records holds the greatest records of these parts.
+	Records []byte `cbor:"3,keyasint,omitempty"`
+	// Missing holds the shards that the home has given up on.
+	Missing []Missing `cbor:"4,keyasint,omitempty"`
+	// MayHaveRun is set once a replica may have run the query.
+	MayHaveRun bool `cbor:"5,keyasint,omitempty"`
+	// IsFinal marks the last block.
+	IsFinal bool `cbor:"6,keyasint,omitempty"`
+}
--- a/internal/state/api/peer.go
+++ b/internal/state/api/peer.go
@@ -32,6 +32,9 @@
 	// AgeSeconds is how long ago the teller learned that the member failed or
 	// left, so that all forget it at about the same time.
 	AgeSeconds uint32 `cbor:"7,keyasint,omitempty"`
+	// Capacity is the member's processor in thousandths of a core; 0 where it
+	// does not say.
+	Capacity int `cbor:"8,keyasint,omitempty"`
 }
 
 // LeavingMark says that one incarnation of a replica is leaving.
@@ -125,6 +128,8 @@
 	Read []string `cbor:"6,keyasint,omitempty"`
 	// Ping asks for a reply and nothing else.
 	Ping bool `cbor:"7,keyasint,omitempty"`
+	// Cell asks a home for parts; it answers with a sequence of blocks.
+	Cell *CellQuery `cbor:"8,keyasint,omitempty"`
 }
 
 // CallReply answers a Call.
--- a/internal/state/api/relay.go
+++ b/internal/state/api/relay.go
@@ -5,18 +5,18 @@
 // Relayed is a caller's request that is passed whole to replicas.
 type Relayed struct {
 	// Identity is the caller's own name for the request, unique to it.
-	Identity string
-	Method   string
-	Host     string
+	Identity string `cbor:"1,keyasint"`
+	Method   string `cbor:"2,keyasint"`
+	Host     string `cbor:"3,keyasint"`
 	// Path selects the route.
-	Path string
+	Path string `cbor:"-"`
 	// Target is the path and query as the caller sent them.
-	Target string
+	Target string `cbor:"4,keyasint"`
 	// Header holds the end-to-end headers.
-	Header map[string][]string
-	Body   []byte
+	Header map[string][]string `cbor:"5,keyasint,omitempty"`
+	Body   []byte              `cbor:"6,keyasint,omitempty"`
 	// Deadline is how long the caller waits; 0 where it does not say.
-	Deadline time.Duration
+	Deadline time.Duration `cbor:"-"`
 }
 
 // Response is a replica's answer to a relayed request.
--- a/internal/state/choice/leastwait.go
+++ b/internal/state/choice/leastwait.go
@@ -15,9 +15,6 @@
 const (
 	// coldFactor is how many times slower a replica is shortly after its start.
 	coldFactor = 1.6
-	// farFactor is how much more a replica of another failure domain counts,
-	// for the bytes that go there and back.
-	farFactor = 2
 	// stallFactor is how many times its latency a replica may leave attempts
 	// without an answer before it counts as stalled.
 	stallFactor = 2
@@ -28,13 +25,10 @@
 // LeastWait picks, of two random replicas, the one that would answer sooner:
 // by the peak of its latency, the requests that it runs and queues, how often
 // it fails and how long it has answered nothing.
-type LeastWait struct {
-	// FailureDomain is where this instance runs.
-	FailureDomain string
-}
+type LeastWait struct{}
 
 // Choose picks a replica.
-func (leastwait LeastWait) Choose(replicas []*view.Replica) *view.Replica {
+func (LeastWait) Choose(replicas []*view.Replica) *view.Replica {
 	if len(replicas) == 1 {
 		return replicas[0]
 	}
@@ -44,7 +38,7 @@
 		second++
 	}
 	now := view.Since()
-	if leastwait.wait(replicas[second], now) < leastwait.wait(replicas[first], now) {
+	if wait(replicas[second], now) < wait(replicas[first], now) {
 		return replicas[second]
 	}
 	return replicas[first]
@@ -52,7 +46,7 @@
 
 // wait estimates how long a request to replica would take. It is in no unit:
 // a replica without an observation counts as the fastest.
-func (leastwait LeastWait) wait(replica *view.Replica, now time.Duration) float64 {
+func wait(replica *view.Replica, now time.Duration) float64 {
 	traffic := replica.Traffic
 	mean := float64(traffic.Latency.Load())
 	peak := float64(traffic.Peak.Load())
@@ -64,9 +58,6 @@
 	if stalled := float64(traffic.Stalled(now)); stalled > stallFactor*latency {
 		latency += stalled
 	}
-	if leastwait.FailureDomain != "" && replica.Instance.FailureDomain != leastwait.FailureDomain {
-		latency *= farFactor
-	}
 	slots := float64(max(replica.Upstream.Slots, 1))
 	success := max(1-traffic.FailingShare(now), leastSuccess)
 	return (latency + 1) * (1 + traffic.Load(now)/slots) / success
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -75,6 +75,9 @@
 	Cores int `toml:"cores"`
 	// MemoryBytes is what the process may hold; 0 leaves it unbounded.
 	MemoryBytes int64 `toml:"memoryBytes"`
+	// Capacity is the processor in thousandths of a core; instances with more
+	// hold more shards. 0 stands for a whole core.
+	Capacity int `toml:"capacity"`
 }
 
 // Retries bounds the requests that all instances together send to an upstream
@@ -146,12 +149,15 @@
 
 // PolicySets lists the sets of policies; those other than default are
 // baselines to measure against.
-var PolicySets = []string{"default", "baseline", "randomChoice", "admitAll"}
+var PolicySets = []string{"default", "direct", "baseline", "randomChoice", "admitAll"}
 
 // Policy names the policies of the query path.
 type Policy struct {
 	// Set is "default" or the name of a baseline to compare with.
 	Set string `toml:"set"`
+	// CellWidth is about how many shards of merged scopes one instance holds
+	// the connections to; 0 makes each instance ask the replicas itself.
+	CellWidth int `toml:"cellWidth"`
 }
 
 // Duration is a time.Duration that is written as "98ms" or "5s".
@@ -180,7 +186,7 @@
 			ProbeTimeout:     Duration{Duration: 400 * time.Millisecond},
 			SuspicionTimeout: Duration{Duration: 2 * time.Second},
 		},
-		Policy: Policy{Set: "default"},
+		Policy: Policy{Set: "default", CellWidth: 4},
 	}
 }
 
@@ -320,7 +326,10 @@
 	if ratio := settings.Retries.Ratio; !(ratio >= 0 && ratio <= 1) || !(settings.Retries.Slack >= 0) {
 		return &FieldError{Key: "retries", Value: "out of range", Allowed: "a ratio of 0 to 1 and a slack of 0 or more"}
 	}
-	if settings.Process.Cores < 0 || settings.Process.MemoryBytes < 0 {
+	if settings.Policy.CellWidth < 0 {
+		return &FieldError{Key: "policy.cellWidth", Value: "less than 0", Allowed: "0 or more"}
+	}
+	if settings.Process.Cores < 0 || settings.Process.MemoryBytes < 0 || settings.Process.Capacity < 0 {
 		return &FieldError{Key: "process", Value: "less than 0", Allowed: "0 or more"}
 	}
 	counts := map[string]int{"reading.readersPerFailureDomain": settings.Reading.ReadersPerFailureDomain, "callers.maxKeys": settings.Callers.MaxKeys, "callers.maxInFlight": settings.Callers.MaxInFlight}
--- a/internal/state/view/replica.go
+++ b/internal/state/view/replica.go
@@ -38,6 +38,12 @@
 	FailingAt atomic.Int64
 	// ReportedLoad is the load that the replica last reported.
 	ReportedLoad atomic.Int64
+	// Pace is how long work takes at the replica, in thousandths of the usual,
+	// as of ReportedAt; 0 where it does not say.
+	Pace atomic.Int64
+	// Base is a moving average of answered attempts at the usual pace, in
+	// nanoseconds. Single long ones count little.
+	Base atomic.Int64
 	// ReportedAt is when ReportedLoad was read, in nanoseconds since Epoch.
 	ReportedAt atomic.Int64
 	// Leaving is set once the replica is known to drain; it is never reset.
@@ -126,6 +132,7 @@
 // ObserveLatency folds one answered attempt into the moving averages. Two
 // goroutines that observe at once may lose one of the observations.
 func (traffic *Traffic) ObserveLatency(latency time.Duration) {
+	traffic.ObserveBase(latency)
 	traffic.AnsweredAt.Store(int64(Since()))
 	peak := traffic.Peak.Load()
 	if int64(latency) >= peak {
@@ -145,6 +152,62 @@
 	traffic.Deviation.Store(deviation + (max(distance, -distance)-deviation)>>deviationShift)
 }
 
+// ObserveReport takes what a reply says of the replica's load.
+func (traffic *Traffic) ObserveReport(reply api.Reply) {
+	if !reply.IsLoadKnown {
+		return
+	}
+	traffic.ReportedLoad.Store(int64(reply.Load))
+	traffic.Pace.Store(int64(reply.Pace * paceUnit))
+	traffic.ReportedAt.Store(int64(Since()))
+}
+
+const (
+	// paceUnit is the value of Pace at the usual pace.
+	paceUnit = 1_000
+	// paceAge is how long a reported pace counts; it changes several times a
+	// second.
+	paceAge = 400 * time.Millisecond
+	// baseShift is the weight of a new observation in Base, as one in two to
+	// this power.
+	baseShift = 3
+	// mostOfBase bounds an observation as a multiple of Base, so that a pause
+	// of the replica does not count as its usual latency.
+	mostOfBase = 3
+	// baseHalfLife is the time in which Base halves while nothing is observed,
+	// so that a replica which was slow is tried again.
+	baseHalfLife = 2 * time.Second
+)
+
+// PaceAt returns the replica's pace as far as it is known.
+func (traffic *Traffic) PaceAt(now time.Duration) float64 {
+	pace := traffic.Pace.Load()
+	if pace <= 0 || now-time.Duration(traffic.ReportedAt.Load()) > paceAge {
+		return 1
+	}
+	return float64(pace) / paceUnit
+}
+
+// ObserveBase folds an answered attempt into Base.
+func (traffic *Traffic) ObserveBase(latency time.Duration) {
+	at := int64(float64(latency) / traffic.PaceAt(Since()))
+	old := traffic.Base.Load()
+	if old == 0 {
+		traffic.Base.Store(at)
+		return
+	}
+	at = min(at, old*mostOfBase)
+	traffic.Base.Store(old + (at-old)>>baseShift)
+}
+
+// Expected returns how long an attempt takes once it has a slot, as far as is
+// known; 0 where nothing is.
+func (traffic *Traffic) Expected(now time.Duration) time.Duration {
+	base := float64(traffic.Base.Load())
+	age := now - time.Duration(traffic.AnsweredAt.Load())
+	return time.Duration(base * traffic.PaceAt(now) * math.Exp2(-float64(age)/float64(baseHalfLife)))
+}
+
 // ObserveCancelled folds in an attempt that was given up after the given
 // time: its latency would have been longer.
 func (traffic *Traffic) ObserveCancelled(after time.Duration) {
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -31,6 +31,9 @@
 	Refused map[string]api.Document
 	// Neighbours names the members that this instance probes and tells news.
 	Neighbours []string
+	// Homes holds, for the shards of merged scopes, the members that hold the
+	// connections to their replicas, in the order in which they are asked.
+	Homes map[ShardKey][]string
 	// IsReader is set on the instances that watch the platform for the others.
 	IsReader bool
 	// MembersDigest sums up the membership that is known.
@@ -48,6 +51,12 @@
 	StaleAnswers  int64
 }
 
+// ShardKey names one shard of one index.
+type ShardKey struct {
+	Index string
+	Shard string
+}
+
 // Learned is news and when this instance learned it.
 type Learned[N any] struct {
 	News  N
@@ -61,6 +70,8 @@
 	// Snapshot is the version that new queries read.
 	Snapshot uint64
 	Shards   []Shard
+	// Positions holds where in Shards each name is.
+	Positions map[string]int
 }
 
 // Shard is one shard with its replicas.
--- a/internal/wire/cbor/cbor.go
+++ b/internal/wire/cbor/cbor.go
@@ -50,3 +50,18 @@
 	}
 	return Unmarshal[M](encoded)
 }
+
+// Sequence reads messages that follow one another.
+type Sequence[M any] struct{ decoder *cbor.Decoder }
+
+// NewSequence returns the messages of reader.
+func NewSequence[M any](reader io.Reader) *Sequence[M] {
+	return &Sequence[M]{decoder: decoding.NewDecoder(io.LimitReader(reader, MaxMessageBytes))}
+}
+
+// Next returns the next message, and io.EOF after the last.
+func (sequence *Sequence[M]) Next() (M, error) {
+	var message M
+	err := sequence.decoder.Decode(&message)
+	return message, errors.Wrap(err, "decode peer message")
+}
--- a/internal/wire/http/relaycodec.go
+++ b/internal/wire/http/relaycodec.go
@@ -93,7 +93,7 @@
 		Response:  response,
 		Status:    api.ReplyFailed,
 	}
-	reply.Load, reply.IsLoadKnown = decodeLoad(header.Get(names.Load))
+	decodeLoad(header.Get(names.Load), &reply)
 	isSuccess := response.Code >= http.StatusOK && response.Code < http.StatusMultipleChoices
 	switch {
 	case response.Code == http.StatusMisdirectedRequest:
@@ -106,17 +106,35 @@
 	return reply
 }
 
-// decodeLoad reads the requests that a replica runs and queues.
-func decodeLoad(text string) (int, bool) {
-	running, rest, isList := strings.Cut(text, ",")
-	queued, _, _ := strings.Cut(rest, ",")
-	runs, err := strconv.Atoi(strings.TrimSpace(running))
-	if err != nil || !isList {
-		return 0, false
+// Figures of the load header, by position.
+const (
+	figureRunning = iota
+	figureQueued
+	figureSlots
+	// figurePace is a percentage: 100 is the usual.
+	figurePace
+	loadFigures
+)
+
+// decodeLoad reads what a replica says of its load into reply. A header that
+// cannot be read says nothing.
+func decodeLoad(text string, reply *api.Reply) {
+	var figures [loadFigures]int
+	count := 0
+	for item := range strings.SplitSeq(text, ",") {
+		figure, err := strconv.Atoi(strings.TrimSpace(item))
+		if err != nil || count == loadFigures {
+			return
+		}
+		figures[count] = figure
+		count++
+	}
+	if count < figureSlots {
+		return
 	}
-	waits, err := strconv.Atoi(strings.TrimSpace(queued))
-	if err != nil {
-		return 0, false
+	reply.IsLoadKnown = true
+	reply.Load = figures[figureRunning] + figures[figureQueued]
+	if figures[figurePace] > 0 {
+		reply.Pace = float64(figures[figurePace]) / 100
 	}
-	return runs + waits, true
 }
--- a/internal/wire/quic/endpoint.go
+++ b/internal/wire/quic/endpoint.go
@@ -28,6 +28,9 @@
 type Handler struct {
 	// Call answers one call.
 	Call func(ctx context.Context, call api.Call) api.CallReply
+	// Cell answers one cell query with a sequence of blocks. It ends with ctx,
+	// when the peer wants no more.
+	Cell func(ctx context.Context, query api.CellQuery, send func(block api.CellBlock) error)
 	// Datagram takes one datagram; reply sends one back to its sender.
 	Datagram func(datagram api.Datagram, reply func(api.Datagram))
 }
@@ -37,6 +40,14 @@
 	Step  string
 	Peer  string
 	Cause error
+	// IsSent is set once the peer may have got the call.
+	IsSent bool
+}
+
+// Is reports whether target is api.ErrNotSent and the peer did not get the
+// call.
+func (callerror *CallError) Is(target error) bool {
+	return target == api.ErrNotSent && !callerror.IsSent
 }
 
 // Error names the step and the peer.
@@ -126,10 +137,33 @@
 		if err != nil {
 			return
 		}
+		endpoint.adopt(conn)
 		endpoint.attend(conn)
 	}
 }
 
+// adopt makes calls use a connection that a peer opened, where this endpoint
+// has none to it. Peers dial from the socket that they listen on.
+func (endpoint *Endpoint) adopt(conn *quic.Conn) {
+	address := conn.RemoteAddr().String()
+	endpoint.mutex.Lock()
+	defer endpoint.mutex.Unlock()
+	if current := endpoint.conns[address]; current != nil && !current.isBroken() {
+		return
+	}
+	adopted := &dialing{ready: make(chan struct{}), conn: conn}
+	close(adopted.ready)
+	endpoint.conns[address] = adopted
+}
+
+// Warm opens a connection to address where there is none.
+func (endpoint *Endpoint) Warm(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	_, err := endpoint.connect(ctx, address)
+	return errors.Wrapf(err, "connect to peer %s", address)
+}
+
 func (endpoint *Endpoint) attend(conn *quic.Conn) {
 	session := &session{endpoint: endpoint, conn: conn}
 	go session.run()
@@ -146,36 +180,67 @@
 
 // Call sends one call to the peer at address and reads its reply.
 func (endpoint *Endpoint) Call(ctx context.Context, address string, call api.Call) (api.CallReply, error) {
+	stream, err := endpoint.open(ctx, address, call)
+	if err != nil {
+		return api.CallReply{}, err
+	}
+	defer cancelWith(ctx, stream)()
+	reply, err := cbor.Read[api.CallReply](stream)
+	if err != nil {
+		return reply, &CallError{Step: "read reply of", Peer: address, Cause: err, IsSent: true}
+	}
+	return reply, nil
+}
+
+// Ask sends a cell query to the peer at address and passes on its blocks until
+// the last one, an error, or the end of ctx.
+func (endpoint *Endpoint) Ask(ctx context.Context, address string, query api.CellQuery, take func(block api.CellBlock)) error {
+	stream, err := endpoint.open(ctx, address, api.Call{Cell: &query})
+	if err != nil {
+		return err
+	}
+	defer cancelWith(ctx, stream)()
+	blocks := cbor.NewSequence[api.CellBlock](stream)
+	for {
+		block, err := blocks.Next()
+		if err != nil {
+			return &CallError{Step: "read block of", Peer: address, Cause: err, IsSent: true}
+		}
+		take(block)
+		if block.IsFinal {
+			return nil
+		}
+	}
+}
+
+// open sends call to the peer at address on a new stream.
+func (endpoint *Endpoint) open(ctx context.Context, address string, call api.Call) (*quic.Stream, error) {
 	encoded, err := cbor.Marshal(call)
 	if err != nil {
-		return api.CallReply{}, &CallError{Step: "encode call to", Peer: address, Cause: err}
+		return nil, &CallError{Step: "encode call to", Peer: address, Cause: err}
 	}
 	conn, err := endpoint.connect(ctx, address)
 	if err != nil {
-		return api.CallReply{}, &CallError{Step: "connect to", Peer: address, Cause: err}
+		return nil, &CallError{Step: "connect to", Peer: address, Cause: err}
 	}
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		return api.CallReply{}, &CallError{Step: "open stream to", Peer: address, Cause: err}
+		return nil, &CallError{Step: "open stream to", Peer: address, Cause: err}
 	}
-	return exchange(ctx, stream, address, encoded)
+	defer cancelWith(ctx, stream)()
+	if _, err := stream.Write(encoded); err != nil {
+		return nil, &CallError{Step: "send call to", Peer: address, Cause: err, IsSent: true}
+	}
+	_ = stream.Close()
+	return stream, nil
 }
 
-func exchange(ctx context.Context, stream *quic.Stream, address string, encoded []byte) (api.CallReply, error) {
-	stop := context.AfterFunc(ctx, func() {
+// cancelWith ends stream when ctx ends, until the returned function is called.
+func cancelWith(ctx context.Context, stream *quic.Stream) func() bool {
+	return context.AfterFunc(ctx, func() {
 		stream.CancelRead(0)
 		stream.CancelWrite(0)
 	})
-	defer stop()
-	if _, err := stream.Write(encoded); err != nil {
-		return api.CallReply{}, &CallError{Step: "send call to", Peer: address, Cause: err}
-	}
-	_ = stream.Close()
-	reply, err := cbor.Read[api.CallReply](stream)
-	if err != nil {
-		return reply, &CallError{Step: "read reply of", Peer: address, Cause: err}
-	}
-	return reply, nil
 }
 
 // Send sends one datagram to the peer at address. It may be lost.
--- a/internal/wire/quic/session.go
+++ b/internal/wire/quic/session.go
@@ -1,6 +1,7 @@
 package quic
 
 import (
+	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
@@ -55,6 +56,11 @@
 		served.stream.CancelWrite(1)
 		return
 	}
+	if call.Cell != nil {
+		served.endpoint.handler.Cell(served.stream.Context(), *call.Cell, served.send)
+		_ = served.stream.Close()
+		return
+	}
 	reply := served.endpoint.handler.Call(served.stream.Context(), call)
 	encoded, err := cbor.Marshal(reply)
 	if err != nil {
@@ -66,3 +72,13 @@
 	}
 	_ = served.stream.Close()
 }
+
+// send writes one block of an answer.
+func (served *served) send(block api.CellBlock) error {
+	encoded, err := cbor.Marshal(block)
+	if err != nil {
+		return err
+	}
+	_, err = served.stream.Write(encoded)
+	return errors.Wrap(err, "send block")
+}
