--- a/internal/query/peer/server.go
+++ b/internal/query/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
@@ -50,12 +51,29 @@
 	var unknown []api.Missing
 	for number, name := range query.Shards {
 		position, isKnown := index.Positions[name]
-		isSame := isKnown && number < len(query.Epochs) && index.Shards[position].Epoch == query.Epochs[number]
-		if !isSame || len(index.Shards[position].Replicas) == 0 {
+		isSame := isKnown && number < len(query.Epochs) && number < len(query.Replicas) && index.Shards[position].Epoch == query.Epochs[number]
+		if !isSame {
 			unknown = append(unknown, api.Missing{Shard: name, Reason: api.MissingMoved})
 			continue
 		}
-		shards = append(shards, index.Shards[position])
+		shard := index.Shards[position]
+		shard.Replicas = among(shard.Replicas, query.Replicas[number])
+		if len(shard.Replicas) == 0 {
+			unknown = append(unknown, api.Missing{Shard: name, Reason: api.MissingMoved})
+			continue
+		}
+		shards = append(shards, shard)
 	}
 	return shards, unknown
 }
+
+// among returns the replicas that hashes name.
+func among(replicas []*view.Replica, hashes []uint32) []*view.Replica {
+	var named []*view.Replica
+	for _, replica := range replicas {
+		if slices.Contains(hashes, upstream.HashOf(replica)) {
+			named = append(named, replica)
+		}
+	}
+	return named
+}
--- a/internal/query/upstream/errand.go
+++ b/internal/query/upstream/errand.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
@@ -44,7 +46,9 @@
 func (errand *errand[C, H, L, P]) run() {
 	pass := errand.pass
 	errand.left = make(map[string]view.Shard, len(errand.group.Shards))
-	for _, shard := range errand.group.Shards {
+	for index, shard := range errand.group.Shards {
+		shard.Replicas = Candidates(shard.Replicas, pass.request.Scope.MaxAttempts)
+		errand.group.Shards[index] = shard
 		errand.left[shard.Name] = shard
 	}
 	query := errand.query()
@@ -94,10 +98,45 @@
 	for _, shard := range errand.group.Shards {
 		query.Shards = append(query.Shards, shard.Name)
 		query.Epochs = append(query.Epochs, shard.Epoch)
+		query.Replicas = append(query.Replicas, hashesOf(shard.Replicas))
 	}
 	return query
 }
 
+// Candidates returns the replicas that a query may go to where both its home
+// and this instance may send it: as many as its scope allows attempts, so that
+// the two together do not send it to more. Replicas that fail come last.
+func Candidates(replicas []*view.Replica, most int) []*view.Replica {
+	if most <= 0 || len(replicas) <= most {
+		return replicas
+	}
+	now := view.Since()
+	chosen := make([]*view.Replica, 0, len(replicas))
+	var failing []*view.Replica
+	for _, index := range rand.Perm(len(replicas)) {
+		if replicas[index].Traffic.IsFailing(now) {
+			failing = append(failing, replicas[index])
+		} else {
+			chosen = append(chosen, replicas[index])
+		}
+	}
+	return append(chosen, failing...)[:most]
+}
+
+// hashesOf names replicas briefly.
+func hashesOf(replicas []*view.Replica) []uint32 {
+	hashes := make([]uint32, len(replicas))
+	for index, replica := range replicas {
+		hashes[index] = HashOf(replica)
+	}
+	return hashes
+}
+
+// HashOf names a replica briefly.
+func HashOf(replica *view.Replica) uint32 {
+	return uint32(xxhash.Sum64String(replica.Instance.Name))
+}
+
 // take passes on what a block settles. A shard whose replicas the home does
 // not know is left for this instance.
 func (errand *errand[C, H, L, P]) take(block api.CellBlock) {
--- a/internal/state/api/cell.go
+++ b/internal/state/api/cell.go
@@ -14,11 +14,14 @@
 	Index  string   `cbor:"1,keyasint"`
 	Shards []string `cbor:"2,keyasint"`
 	// Epochs holds the epochs of Shards.
-	Epochs      []uint64 `cbor:"3,keyasint"`
-	Form        Form     `cbor:"4,keyasint"`
-	TopK        int      `cbor:"5,keyasint,omitempty"`
-	MaxAttempts int      `cbor:"6,keyasint,omitempty"`
-	Relayed     Relayed  `cbor:"7,keyasint"`
+	Epochs []uint64 `cbor:"3,keyasint"`
+	// Replicas holds, for each of Shards, the hashed names of the replicas that
+	// may be asked.
+	Replicas    [][]uint32 `cbor:"10,keyasint"`
+	Form        Form       `cbor:"4,keyasint"`
+	TopK        int        `cbor:"5,keyasint,omitempty"`
+	MaxAttempts int        `cbor:"6,keyasint,omitempty"`
+	Relayed     Relayed    `cbor:"7,keyasint"`
 	// TargetLeft is the time until the answer is worth most; 0 where there is
 	// no such time.
 	TargetLeft time.Duration `cbor:"8,keyasint,omitempty"`
