--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -132,11 +132,11 @@
 func (relayer *Relayer[C]) attempt(ctx context.Context, replica *view.Replica, command Command) (api.Answer, bool) {
 	link := relayer.Links.Get(replica, len(command.View.Members))
 	attempt := api.Attempt{
-		Shard:   command.Shard.Name,
-		Command: true,
-		Timeout: time.Until(command.Deadline),
-		Relayed: command.Relayed,
-		Replica: replica.Instance.Name,
+		Shard:    command.Shard.Name,
+		Command:  true,
+		Deadline: command.Deadline,
+		Relayed:  command.Relayed,
+		Replica:  replica.Instance.Name,
 	}
 	start := replica.Traffic.Begin()
 	reply, err := link.Send(ctx, attempt)
--- a/internal/command/upstream/sender.go
+++ b/internal/command/upstream/sender.go
@@ -172,9 +172,7 @@
 		Epoch:    shard.Epoch,
 		Body:     command.Body,
 	}
-	if deadline, isSet := ctx.Deadline(); isSet {
-		attempt.Timeout = time.Until(deadline)
-	}
+	attempt.Deadline, _ = ctx.Deadline()
 	return attempt
 }
 
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -79,7 +79,7 @@
 		Kind:     fetch.pass.request.Query.Kind,
 		Snapshot: fetch.pass.pin.Snapshot,
 		Epoch:    fetch.shard.Epoch,
-		Timeout:  time.Until(fetch.pass.request.Deadline),
+		Deadline: fetch.pass.request.Deadline,
 		Body:     fetch.pass.body,
 		Relayed:  fetch.pass.request.Relayed,
 		Replica:  attempt.replica.Instance.Name,
--- a/internal/state/api/upstream.go
+++ b/internal/state/api/upstream.go
@@ -26,7 +26,10 @@
 	Command  bool
 	Snapshot uint64
 	Epoch    uint64
-	// Timeout is what is left of the caller's deadline.
+	// Deadline is when the caller gives up, as the sender knows it.
+	Deadline time.Time
+	// Timeout is what was left until then when the attempt was sent, as the
+	// replica reads it.
 	Timeout time.Duration
 	Body    []byte
 	// Relayed is the caller's request where it is passed whole.
--- a/internal/wire/http/relaycodec.go
+++ b/internal/wire/http/relaycodec.go
@@ -56,8 +56,7 @@
 			buffer = appendHeader(buffer, name, value)
 		}
 	}
-	millis := max(attempt.Timeout.Milliseconds(), 1)
-	buffer = appendHeader(buffer, names.Deadline, strconv.FormatInt(millis, 10))
+	buffer = appendHeader(buffer, names.Deadline, timeLeft(attempt))
 	if attempt.Replica != "" {
 		buffer = appendHeader(buffer, names.Replica, attempt.Replica)
 	}
--- a/internal/wire/http/upstream.go
+++ b/internal/wire/http/upstream.go
@@ -48,10 +48,15 @@
 	header.Set(headerKind, attempt.Kind)
 	header.Set(headerSnapshot, strconv.FormatUint(attempt.Snapshot, 10))
 	header.Set(headerEpoch, strconv.FormatUint(attempt.Epoch, 10))
-	header.Set(headerDeadline, strconv.FormatInt(max(attempt.Timeout.Milliseconds(), 1), 10))
+	header.Set(headerDeadline, timeLeft(attempt))
 	return request, nil
 }
 
+// timeLeft writes what is left of an attempt's time now, in milliseconds.
+func timeLeft(attempt api.Attempt) string {
+	return strconv.FormatInt(max(time.Until(attempt.Deadline).Milliseconds(), 1), 10)
+}
+
 // DecodeAttempt reads an attempt as a replica receives it.
 func DecodeAttempt(shard string, isCommand bool, request *http.Request) (api.Attempt, error) {
 	header := request.Header
