--- a/internal/command/upstream/watcher.go
+++ b/internal/command/upstream/watcher.go
@@ -52,8 +52,8 @@
 
 func (watcher *Watcher) checkAll(ctx context.Context) {
 	current := watcher.published.Load()
-	watcher.links.Keep(current.Replicas)
-	watcher.relays.Keep(current.Replicas)
+	watcher.links.Keep(current.Replicas, len(current.Members))
+	watcher.relays.Keep(current.Replicas, len(current.Members))
 	for _, replica := range current.Replicas {
 		isChecked := replica.Upstream.Protocol != api.ProtocolRelay && !replica.Traffic.Leaving.Load()
 		if !isChecked || !IsOwner(current, replica.Instance.Name) {
--- a/internal/query/upstream/errand_test.go
+++ b/internal/query/upstream/errand_test.go
@@ -40,6 +40,7 @@
 }
 
 func (stublink *stubLink) Close()              {}
+func (stublink *stubLink) Share(int)           {}
 func (stublink *stubLink) Checked() *http.Link { return nil }
 
 func (stublink *stubLink) Send(ctx context.Context, attempt api.Attempt) (api.Reply, error) {
--- a/internal/state/choice/soonest.go
+++ b/internal/state/choice/soonest.go
@@ -10,7 +10,7 @@
 	// farCost is how many times longer an answer of another failure domain may
 	// take than a near one before it is preferred less: the bytes that go there
 	// and back are paid for.
-	farCost = 1.8
+	farCost = 2.2
 	// fullness is how much a replica slows down as its slots fill.
 	fullness = 0.3
 	// stallMultiple and leastStall are from when a replica that answers nothing
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -151,6 +151,9 @@
 	old.CloseIdleConnections()
 }
 
+// Share does nothing: the transport's limit is set when the link is made.
+func (link *Link) Share(int) {}
+
 // Checked returns the link itself: its connection carries several requests.
 func (link *Link) Checked() *Link { return link }
 
--- a/internal/wire/http/links.go
+++ b/internal/wire/http/links.go
@@ -6,8 +6,13 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
-// Closer is a link that can end its connections.
-type Closer interface{ Close() }
+// Closer is a link that can end its connections, and change its share of
+// those that its replica accepts.
+type Closer interface {
+	Close()
+	// Share sets the share to that of one of so many instances.
+	Share(instances int)
+}
 
 // Links holds the link of each replica's incarnation.
 type Links[L Closer] struct {
@@ -51,8 +56,9 @@
 	return link
 }
 
-// Keep closes the links to replicas that are not in replicas.
-func (links *Links[L]) Keep(replicas map[string]*view.Replica) {
+// Keep closes the links to replicas that are not in replicas, and shares the
+// connections of the others among so many instances.
+func (links *Links[L]) Keep(replicas map[string]*view.Replica, instances int) {
 	kept := make(map[linkKey]bool, len(replicas))
 	for _, replica := range replicas {
 		kept[keyOf(replica)] = true
@@ -63,6 +69,8 @@
 		if !kept[key] {
 			delete(links.links, key)
 			link.Close()
+			continue
 		}
+		link.Share(instances)
 	}
 }
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -21,6 +21,9 @@
 	// relayReserve is the part of a replica's connection limit that is kept
 	// back for instances that join or restart, as one in so many.
 	relayReserve = 12
+	// relayBeyondSlots is how many more connections than the replica's slots a
+	// link opens at most. More would only wait at the replica rather than here.
+	relayBeyondSlots = 2
 	// relayFresh is how long after an answer a connection may carry a
 	// non-idempotent request without being opened anew.
 	relayFresh = time.Second
@@ -60,11 +63,12 @@
 }
 
 // Share sets the link's share of the replica's connections to that of one of
-// so many instances.
+// so many instances, within what the replica's slots can use.
 func (relaylink *RelayLink) Share(instances int) {
 	relaylink.mutex.Lock()
 	defer relaylink.mutex.Unlock()
-	relaylink.most = shareOf(relaylink.upstream, instances, relayReserve)
+	share := shareOf(relaylink.upstream, instances, relayReserve)
+	relaylink.most = min(share, max(relaylink.upstream.Slots, 1)+relayBeyondSlots)
 }
 
 // Checked returns nil: a connection carries one request at a time.
