--- a/cmd/mimosaspring/cmds/cmds.go
+++ b/cmd/mimosaspring/cmds/cmds.go
@@ -24,6 +24,7 @@
 	Status    statusCmd        `cmd:"" help:"Show the state of an instance."`
 	Explain   explainCmd       `cmd:"" help:"Show which shards a kind of a scope covers, on an instance or in files."`
 	Check     checkCmd         `cmd:"" help:"Check a settings file and configuration documents without running."`
+	Timeline  timelineCmd      `cmd:"" help:"Show what logs say of one request, and why it ended as it did."`
 	Version   kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- a/cmd/mimosaspring/cmds/serve.go
+++ b/cmd/mimosaspring/cmds/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"runtime"
@@ -27,12 +25,12 @@
 
 // Run serves until SIGTERM or SIGINT, and then stops gracefully. A second
 // signal stops at once.
-func (servecmd *serveCmd) Run(ctx context.Context, stdout io.Writer) error {
+func (servecmd *serveCmd) Run(ctx context.Context) error {
 	settings, err := toml.ReadSettings(servecmd.Settings)
 	if err != nil {
 		return &commandline.InputError{Cause: err}
 	}
-	loggers, err := log.New(settings.Log)
+	loggers, err := log.New(settings.Log, settings.Name)
 	if err != nil {
 		return &commandline.InputError{Cause: err}
 	}
@@ -45,11 +43,11 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(stdout, "serving callers on %s, peers on %s, operators on %s\n", started.CallerAddress, started.PeerAddress, started.OperatorAddress)
 	awaitStop(loggers.Part(log.PartProcess))
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	started.Stop(stop)
+	loggers.Flush()
 	return nil
 }
 
--- a/cmd/mimosaspring/process_test.go
+++ b/cmd/mimosaspring/process_test.go
@@ -60,10 +60,13 @@
 	return ts.Value(processesKey{}).(*processes)
 }
 
-var listensOn = regexp.MustCompile(`(\w+) on (\d+\.\d+\.\d+\.\d+:\d+)`)
+// listensOn matches where a process listens: "word on IP:PORT" in a stand-in's
+// line, "wordAddress":"IP:PORT" in an instance's log line.
+var listensOn = regexp.MustCompile(`(\w+) on (\d+\.\d+\.\d+\.\d+:\d+)|"(\w+)Address":"(\d+\.\d+\.\d+\.\d+:\d+)"`)
 
-// start starts a process in the background and waits for its first line. Each
-// "word on IP:PORT" of that line sets the variable NAME_word.
+// start starts a process in the background and waits for the line that says
+// where it listens. Each address of a stand-in sets the variable NAME_word, of
+// an instance NAME_words.
 func start(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: start NAME PROGRAM ARGUMENT...")
@@ -76,10 +79,13 @@
 	select {
 	case line := <-process.first:
 		for _, match := range listensOn.FindAllStringSubmatch(line, -1) {
+			if match[3] != "" {
+				match[1], match[2] = match[3]+"s", match[4]
+			}
 			ts.Setenv(args[0]+"_"+match[1], match[2])
 		}
 	case <-time.After(10 * time.Second):
-		ts.Fatalf("%s printed no line within 10 s", args[0])
+		ts.Fatalf("%s does not say within 10 s where it listens", args[0])
 	}
 }
 
@@ -121,8 +127,10 @@
 func (process *process) run(stdout io.Reader) {
 	defer close(process.done)
 	scanner := bufio.NewScanner(stdout)
-	for number := 0; scanner.Scan(); number++ {
-		if number == 0 {
+	isTold := false
+	for scanner.Scan() {
+		if !isTold && listensOn.MatchString(scanner.Text()) {
+			isTold = true
 			process.first <- scanner.Text()
 		}
 		process.mutex.Lock()
--- a/internal/command/caller/relay.go
+++ b/internal/command/caller/relay.go
@@ -35,5 +35,6 @@
 		Relayed:  call.Relayed,
 		Deadline: call.Deadline,
 		RefuseAt: call.Start.Add(refuseAfter),
+		Trace:    call.Trace,
 	})
 }
--- a/internal/command/control/effects.go
+++ b/internal/command/control/effects.go
@@ -24,10 +24,7 @@
 	effects.Rebuild = effects.Rebuild || other.Rebuild
 	effects.Refresh = effects.Refresh || other.Refresh
 	effects.Release = effects.Release || other.Release
-	effects.Gossip.Members = append(effects.Gossip.Members, other.Gossip.Members...)
-	effects.Gossip.Keys = append(effects.Gossip.Keys, other.Gossip.Keys...)
-	effects.Gossip.Marks = append(effects.Gossip.Marks, other.Gossip.Marks...)
-	effects.Gossip.Stopped = append(effects.Gossip.Stopped, other.Gossip.Stopped...)
+	effects.Gossip.Merge(other.Gossip)
 }
 
 func (effects Effects) hasGossip() bool {
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -24,6 +24,14 @@
 	callTimeout   = time.Second
 	newsQueueSize = 1_024
 	syncInterval  = 500 * time.Millisecond
+	// gatherTime is how long news wait for others that go in the same message;
+	// a change crosses a fleet of 1,700 in some five steps.
+	gatherTime = 10 * time.Millisecond
+	// settleTime is how long this instance's own knowledge must have been
+	// unchanged before a difference to a peer counts as news that were missed
+	// rather than on their way, and mostSettleTime when it counts in any case.
+	settleTime     = 400 * time.Millisecond
+	mostSettleTime = 1500 * time.Millisecond
 )
 
 // Homes is what the part that keeps command outcomes does for peers.
@@ -50,6 +58,9 @@
 	sequence  atomic.Uint64
 	waiting   sync.Map
 	syncs     sync.Map
+	// differs holds since when each peer's knowledge differs from this one's.
+	differs sync.Map
+	settled settled
 	// heard holds when each neighbour's last probe or acknowledgement came.
 	heard sync.Map
 	load  func() int
@@ -119,18 +130,35 @@
 	}
 }
 
-// run passes queued news to every neighbour.
+// run passes queued news to every neighbour. News that follow closely go in
+// one message.
 func (peers *Peers) run() {
 	for {
 		select {
 		case gossip := <-peers.news.Messages():
-			peers.tellNeighbours(gossip)
+			peers.tellNeighbours(peers.gather(gossip))
 		case <-peers.ctx.Done():
 			return
 		}
 	}
 }
 
+// gather adds the news of the next gatherTime to first.
+func (peers *Peers) gather(first api.Gossip) api.Gossip {
+	timer := time.NewTimer(gatherTime)
+	defer timer.Stop()
+	for {
+		select {
+		case next := <-peers.news.Messages():
+			first.Merge(next)
+		case <-timer.C:
+			return first
+		case <-peers.ctx.Done():
+			return first
+		}
+	}
+}
+
 func (peers *Peers) tellNeighbours(gossip api.Gossip) {
 	gossip.From = peers.published.Load().Self.Instance.PeerAddress
 	for _, member := range peers.neighbours() {
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
 const (
@@ -41,6 +42,7 @@
 	members := prober.peers.neighbours()
 	forgetOlder(&prober.peers.heard, forgetAge)
 	forgetOlder(&prober.peers.syncs, forgetAge)
+	forgetOlder(&prober.peers.differs, forgetAge)
 	for _, member := range members {
 		if prober.peers.isHeard(member.Instance.Name) {
 			continue
@@ -228,11 +230,35 @@
 	if probe.PlatformAge > 0 {
 		peers.observePlatform(time.Now().Add(-time.Duration(probe.PlatformAge)*time.Millisecond), current.PlatformHeard)
 	}
-	if probe.Digest != current.Digest || probe.Members != current.MembersDigest {
+	if probe.Digest == current.Digest && probe.Members == current.MembersDigest {
+		peers.differs.Delete(probe.From)
+		return
+	}
+	now := time.Now()
+	since, _ := peers.differs.LoadOrStore(probe.From, now)
+	isLong := now.Sub(since.(time.Time)) > mostSettleTime
+	if isLong || peers.settled.lasts(current, now) > settleTime {
 		peers.repair(member.Instance.PeerAddress)
 	}
 }
 
+// settled tells for how long an instance's knowledge has been unchanged.
+type settled struct {
+	mutex   sync.Mutex
+	digest  uint64
+	members uint64
+	since   time.Time
+}
+
+func (settled *settled) lasts(current *view.View, now time.Time) time.Duration {
+	settled.mutex.Lock()
+	defer settled.mutex.Unlock()
+	if settled.digest != current.Digest || settled.members != current.MembersDigest {
+		settled.digest, settled.members, settled.since = current.Digest, current.MembersDigest, now
+	}
+	return now.Sub(settled.since)
+}
+
 // platformStep is the least advance of the platform's age worth a message.
 const platformStep = 250 * time.Millisecond
 
--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/budget"
 	"github.com/mimosaspring/mimosaspring/internal/state/choice"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
@@ -32,7 +32,6 @@
 	Published *view.Published
 	Mailbox   *mailbox.Mailbox[message.Message]
 	Budget    *budget.Budget
-	Logger    *zap.Logger
 }
 
 // Command is a non-idempotent request that is passed whole to one replica.
@@ -45,6 +44,12 @@
 	// RefuseAt is from when a command that no replica took is refused rather
 	// than offered again.
 	RefuseAt time.Time
+	// Trace takes the decisions about the command; nil takes none.
+	Trace *trace.Trace
+}
+
+func (command Command) note(kind trace.Kind, replica, detail string) {
+	command.Trace.Add(kind, command.Shard.Name, replica, detail)
 }
 
 // Send runs command on one replica at most. It is sent again only where the
@@ -65,9 +70,11 @@
 			continue
 		}
 		if !isFirst && !relayer.Budget.Allow(command.Shard.Upstream.Name, retryPart) {
+			command.note(trace.OverBudget, "", "upstream "+command.Shard.Upstream.Name)
 			return refused("the retry budget of upstream " + command.Shard.Name + " is spent")
 		}
 		tried[replica.Instance.Name] = true
+		command.note(trace.Sent, replica.Instance.Name, "")
 		answer, isFinal := relayer.attempt(ctx, replica, command)
 		if isFinal {
 			return answer
@@ -142,14 +149,17 @@
 	reply, err := link.Send(ctx, attempt)
 	replica.Traffic.End()
 	if err != nil {
+		command.note(trace.Failed, replica.Instance.Name, err.Error())
 		return relayer.judgeError(ctx, replica, err)
 	}
+	if reply.Status != api.ReplyDone {
+		command.note(trace.Failed, replica.Instance.Name, "the replica answered "+string(reply.Status))
+	}
 	return relayer.judgeReply(replica, reply, view.Since()-start)
 }
 
 func (relayer *Relayer[C]) judgeError(ctx context.Context, replica *view.Replica, err error) (api.Answer, bool) {
 	replica.Traffic.ObserveOutcome(false)
-	relayer.Logger.Info("command attempt failed", zap.String("replica", replica.Instance.Name), zap.Error(err))
 	var senderror *http.SendError
 	if errors.As(err, &senderror) && !senderror.MayHaveRun {
 		return api.Answer{}, false
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -41,24 +41,26 @@
 	PeerAddress     string
 	OperatorAddress string
 
-	settings  settings.Settings
-	loggers   *log.Loggers
-	logger    *zap.Logger
-	control   *control.Control
-	peers     *peer.Peers
-	home      *commandcaller.Home
-	metrics   *metrics.Metrics
-	links     *wire.Links[*wire.Link]
-	relays    *wire.Links[*wire.RelayLink]
-	budget    *budget.Budget
-	adapter   Adapter
-	inFlight  atomic.Int64
-	stopping  atomic.Bool
-	caller    *server
-	operator  *server
-	locator   *server
-	readiness *server
-	cancel    context.CancelFunc
+	settings settings.Settings
+	loggers  *log.Loggers
+	logger   *zap.Logger
+	control  *control.Control
+	peers    *peer.Peers
+	home     *commandcaller.Home
+	metrics  *metrics.Metrics
+	links    *wire.Links[*wire.Link]
+	relays   *wire.Links[*wire.RelayLink]
+	budget   *budget.Budget
+	// requestLog logs the decisions about requests of callers and peers.
+	requestLog *requestLog
+	adapter    Adapter
+	inFlight   atomic.Int64
+	stopping   atomic.Bool
+	caller     *server
+	operator   *server
+	locator    *server
+	readiness  *server
+	cancel     context.CancelFunc
 	// endRequests ends the requests in flight, which are then answered.
 	endRequests context.CancelCauseFunc
 	requests    context.Context
@@ -94,6 +96,7 @@
 	}
 	instance.requests, instance.endRequests = context.WithCancelCause(context.Background())
 	instance.logger = instance.loggers.Part(log.PartProcess)
+	instance.requestLog = newRequestLog(instance.loggers.Part(log.PartCaller))
 	instance.relays = &wire.Links[*wire.RelayLink]{Open: wire.OpenRelayLink(instance.adapter.Names)}
 	instance.budget = budget.New(limitsOf(settings.Retries), instance.fleetSize, view.Since)
 	if err := instance.listen(); err != nil {
@@ -105,7 +108,8 @@
 		return nil, err
 	}
 	instance.logger.Info("instance started", zap.String("name", settings.Name),
-		zap.String("callerAddress", instance.CallerAddress), zap.String("peerAddress", instance.PeerAddress))
+		zap.String("callerAddress", instance.CallerAddress), zap.String("peerAddress", instance.PeerAddress),
+		zap.String("operatorAddress", instance.OperatorAddress), zap.String("version", Version))
 	return instance, nil
 }
 
@@ -208,6 +212,7 @@
 		metrics:   instance.metrics,
 		query:     queries.relay,
 		command:   instance.relayCommands().Serve,
+		log:       instance.requestLog,
 	}
 	instance.serve(queries, commandcaller.NewHandler(home, router, instance.metrics), relay)
 	return nil
@@ -224,7 +229,6 @@
 		Published: instance.control.Published,
 		Mailbox:   instance.control.Mailbox,
 		Budget:    instance.budget,
-		Logger:    instance.loggers.Part(log.PartUpstream),
 	}
 	return &commandcaller.Relay{Send: relayer.Send}
 }
--- a/internal/process/instance/relay.go
+++ b/internal/process/instance/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	wire "github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
@@ -37,6 +38,7 @@
 	metrics   *metrics.Metrics
 	query     serveCall
 	command   serveCall
+	log       *requestLog
 }
 
 // ServeHTTP answers one request.
@@ -54,6 +56,7 @@
 	}
 	target, isKnown := current.Routes.Find(relayed.Host, relayed.Path)
 	if !isKnown {
+		relay.log.takeUnrouted(current, relayed)
 		wire.RefuseRelayed(writer, http.StatusNotFound, "no route for "+relayed.Host+relayed.Path, 0)
 		return
 	}
@@ -61,10 +64,16 @@
 	call := view.Call{View: current, Scope: scope, Kind: target.Kind, Relayed: relayed, Start: start}
 	call.RoundTrip, _ = request.Context().Value(roundTripKey{}).(time.Duration)
 	call.Deadline = start.Add(timeLeft(scope.Scope, relayed))
+	call.Trace = trace.New(start)
+	call.Trace.Add(trace.Routed, "", "", scope.Scope.Name)
 	answer := relay.answer(request.Context(), call)
+	if request.Context().Err() != nil {
+		call.Trace.Add(trace.CallerLeft, "", "", "")
+	}
 	label := scope.Scope.Tenant + "." + scope.Scope.Class
 	relay.metrics.Observe(label, "relayed", string(answer.Outcome), time.Since(start))
 	wire.WriteRelayed(relay.names, writer, answer)
+	relay.log.take(call, answer)
 }
 
 func (relay *relay) answer(ctx context.Context, call view.Call) api.Answer {
--- a/internal/process/log/log.go
+++ b/internal/process/log/log.go
@@ -31,18 +31,31 @@
 	debug []string
 }
 
-// New returns the loggers that settings ask for, writing to standard error.
-func New(settings settings.Log) (*Loggers, error) {
+// newEncoder returns the encoding of a line: one JSON object.
+func newEncoder() zapcore.Encoder {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.ISO8601TimeEncoder
+	return zapcore.NewJSONEncoder(config)
+}
+
+// New returns the loggers that settings ask for. They write to standard output
+// and name the instance in each line.
+func New(settings settings.Log, instance string) (*Loggers, error) {
 	level, err := zapcore.ParseLevel(settings.Level)
 	if err != nil {
 		return nil, errors.Wrap(err, "log.level")
 	}
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), zapcore.Lock(os.Stderr), zapcore.DebugLevel)
+	core := zapcore.NewCore(newEncoder(), NewWriter(os.Stdout), zapcore.DebugLevel).With([]zapcore.Field{zap.String("instance", instance)})
 	return &Loggers{core: core, level: level, debug: settings.Parts}, nil
 }
 
+// Flush waits a moment until the lines so far are written.
+func (loggers *Loggers) Flush() {
+	if loggers.core != nil {
+		_ = loggers.core.Sync()
+	}
+}
+
 // Discard returns loggers that write nothing.
 func Discard() *Loggers { return &Loggers{} }
 
--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -8,6 +8,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -65,10 +66,12 @@
 		Relayed:   call.Relayed,
 		Deadline:  call.Deadline,
 		Target:    TargetOf(call, relay.TargetMargin),
+		Trace:     call.Trace,
 	}
 	ticket := Ticket{Scope: request.Scope, Selection: request.Selection, Deadline: call.Deadline}
 	if refusal := relay.Admission.Admit(ticket); refusal != nil {
 		relay.Metrics.Add("queries.refused."+request.Scope.Class, 1)
+		call.Trace.Add(trace.Refused, "", "", refusal.Reason)
 		return api.Answer{Outcome: api.OutcomeNotRun, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter, IsNotRun: true}
 	}
 	return relay.Run(ctx, request)
--- a/internal/query/peer/server.go
+++ b/internal/query/peer/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -17,6 +18,8 @@
 	// Run gathers the parts of a request's shards; unknown holds the shards
 	// that this instance cannot ask.
 	Run func(ctx context.Context, request upstream.Request, unknown []api.Missing, send func(block api.CellBlock) error)
+	// Log takes the decisions about an answered query; nil takes none.
+	Log func(query api.CellQuery, decided *trace.Trace)
 }
 
 // Serve answers one query. It ends with ctx.
@@ -41,7 +44,11 @@
 	if query.TargetLeft > 0 {
 		request.Target = now.Add(query.TargetLeft)
 	}
+	request.Trace = trace.New(now)
 	server.Run(ctx, request, unknown, send)
+	if server.Log != nil {
+		server.Log(query, request.Trace)
+	}
 }
 
 // find returns the shards of query in the epochs that it names, and those that
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
@@ -108,6 +109,7 @@
 		return attemptResult{reason: api.MissingDeadline, isNotRun: isNotRun}
 	}
 	traffic.ObserveOutcome(false)
+	attempt.fetch.note(trace.Failed, attempt.replica.Instance.Name, err.Error())
 	if traffic.Failures.Add(1) >= failuresToSetAside {
 		traffic.FailedUntil.Store(int64(view.Since() + setAsideTime))
 	}
@@ -132,6 +134,9 @@
 		fetch.pass.unproved.Add(-1)
 	}
 	traffic.ObserveOutcome(reply.Status == api.ReplyDone)
+	if reply.Status != api.ReplyDone {
+		fetch.note(trace.Failed, attempt.replica.Instance.Name, "the replica answered "+string(reply.Status))
+	}
 	switch reply.Status {
 	case api.ReplyDone:
 		return attempt.take(reply, latency)
--- a/internal/query/upstream/errand.go
+++ b/internal/query/upstream/errand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -65,6 +67,7 @@
 	})
 	defer watch.Stop()
 	pass.unproved.Add(1)
+	errand.note(trace.Asked, strconv.Itoa(len(query.Shards))+" shards")
 	err := pass.fanout.Placement.Ask(ctx, errand.group, query, errand.take)
 	if errand.ctx.Err() != nil {
 		return
@@ -75,6 +78,7 @@
 	}
 	if err != nil {
 		pass.fanout.Metrics.Add("homes.passedOver", 1)
+		errand.note(trace.PassedOver, err.Error())
 	}
 	for _, shard := range errand.left {
 		fetch := &fetch[C, H, L, P]{pass: pass, ctx: errand.ctx, shard: shard, isRepeat: err != nil && isSent}
@@ -82,6 +86,10 @@
 	}
 }
 
+func (errand *errand[C, H, L, P]) note(kind trace.Kind, detail string) {
+	errand.pass.request.Trace.Add(kind, "", errand.group.Peer.Instance.Name, detail)
+}
+
 func (errand *errand[C, H, L, P]) query() api.CellQuery {
 	request := &errand.pass.request
 	query := api.CellQuery{
@@ -164,6 +172,7 @@
 	for _, missing := range block.Missing {
 		if _, isLeft := errand.left[missing.Shard]; isLeft && missing.Reason != api.MissingMoved {
 			delete(errand.left, missing.Shard)
+			pass.request.Trace.Add(trace.GaveUp, missing.Shard, errand.group.Peer.Instance.Name, string(missing.Reason))
 			errand.deliver(shardResult{shard: missing.Shard, reason: missing.Reason})
 		}
 	}
--- a/internal/query/upstream/fanout.go
+++ b/internal/query/upstream/fanout.go
@@ -11,6 +11,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/http"
 )
@@ -31,6 +32,8 @@
 	// Target is when the answer is worth most; zero where the scope has no
 	// such time.
 	Target time.Time
+	// Trace takes the decisions about the request; nil takes none.
+	Trace *trace.Trace
 }
 
 // Fanout runs queries on the replicas, under the given policies and over the
--- a/internal/query/upstream/fetch.go
+++ b/internal/query/upstream/fetch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -136,6 +137,7 @@
 }
 
 func (fetch *fetch[C, H, L, P]) miss() {
+	fetch.note(trace.GaveUp, "", string(fetch.worst.reason))
 	result := shardResult{shard: fetch.shard.Name, reason: fetch.worst.reason, newer: fetch.worst.newer}
 	if fetch.pass.request.Scope.Form == api.FormRelayed {
 		// The replica's own failure is the answer.
@@ -174,11 +176,16 @@
 	}
 	if !fetch.pass.fanout.Budget.Allow(fetch.shard.Upstream.Name, retryPart) {
 		fetch.pass.fanout.Metrics.Add("attempts.overBudget", 1)
+		fetch.note(trace.OverBudget, "", "upstream "+fetch.shard.Upstream.Name)
 		return false
 	}
 	return fetch.start(ctx)
 }
 
+func (fetch *fetch[C, H, L, P]) note(kind trace.Kind, peer, detail string) {
+	fetch.pass.request.Trace.Add(kind, fetch.shard.Name, peer, detail)
+}
+
 // hedge sends a second attempt to another replica, where the budget allows.
 // Where it does not, the hedge comes once more after twice the delay.
 func (fetch *fetch[C, H, L, P]) hedge(ctx context.Context) {
@@ -194,6 +201,7 @@
 		return
 	}
 	fanout.Metrics.Add("attempts.hedged", 1)
+	fetch.note(trace.Hedged, replica.Instance.Name, "")
 	fetch.tried = append(fetch.tried, replica.Instance.Name)
 	fetch.send(ctx, replica)
 }
@@ -225,6 +233,11 @@
 		return false
 	}
 	replica := fetch.pass.fanout.Choice.Choose(replicas)
+	kind := trace.Sent
+	if fetch.started > 0 || fetch.isRepeat {
+		kind = trace.Repeated
+	}
+	fetch.note(kind, replica.Instance.Name, "")
 	fetch.tried = append(fetch.tried, replica.Instance.Name)
 	fetch.send(ctx, replica)
 	return true
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -95,6 +97,7 @@
 			pass.take(gather, result)
 		case <-cutOff.C:
 			isLate = true
+			pass.request.Trace.Add(trace.CutOff, "", "", coverageText(gather))
 		case <-ctx.Done():
 			answer := pass.answer(gather)
 			answer.IsLate = true
@@ -113,6 +116,11 @@
 	return time.NewTimer(time.Until(pass.request.Target))
 }
 
+func coverageText(gather *Gather) string {
+	coverage := gather.Coverage()
+	return strconv.Itoa(coverage.Included) + " of " + strconv.Itoa(coverage.Selected) + " shards"
+}
+
 func (pass *pass[C, H, L, P]) isEnough(gather *Gather) bool {
 	coverage := gather.Share()
 	return coverage > 0 && coverage >= pass.request.Scope.MinCoverage
--- a/internal/state/api/peer.go
+++ b/internal/state/api/peer.go
@@ -64,6 +64,14 @@
 	Stopped []Stopped     `cbor:"5,keyasint,omitempty"`
 }
 
+// Merge adds the news of other.
+func (gossip *Gossip) Merge(other Gossip) {
+	gossip.Members = append(gossip.Members, other.Members...)
+	gossip.Keys = append(gossip.Keys, other.Keys...)
+	gossip.Marks = append(gossip.Marks, other.Marks...)
+	gossip.Stopped = append(gossip.Stopped, other.Stopped...)
+}
+
 // Probe asks a peer for a sign of life, and carries the sender's digest.
 type Probe struct {
 	From string `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/state/trace/trace.go
@@ -0,0 +1,90 @@
+// Package trace collects the decisions that a request meets on its way, so
+// that they can be logged once it is known to be worth it.
+package trace
+
+import (
+	"sync"
+	"time"
+)
+
+// mostEvents bounds the events of one request.
+const mostEvents = 96
+
+// Kind says what was decided.
+type Kind string
+
+// The decisions about a request.
+const (
+	// Routed names the scope that the request's host and path led to.
+	Routed Kind = "routed"
+	// Refused says why the request was not taken.
+	Refused Kind = "refused"
+	// Asked names the home that was asked for some shards.
+	Asked Kind = "home asked"
+	// PassedOver names a home that failed, and why.
+	PassedOver Kind = "home passed over"
+	// Sent names the replica of an attempt.
+	Sent Kind = "attempt sent"
+	// Hedged names the replica of a second attempt beside one that waits.
+	Hedged Kind = "attempt hedged"
+	// Repeated names the replica of an attempt after one that failed.
+	Repeated Kind = "attempt repeated"
+	// OverBudget says that the retry budget allowed no further attempt.
+	OverBudget Kind = "retry budget spent"
+	// Failed names the replica of an attempt that brought nothing, and why.
+	Failed Kind = "attempt failed"
+	// GaveUp names a shard that is missing, and why.
+	GaveUp Kind = "shard given up"
+	// CallerLeft says that the caller closed its connection before the answer.
+	CallerLeft Kind = "caller left"
+	// CutOff says that the answer was due without the shards that are missing.
+	CutOff Kind = "answer cut off"
+)
+
+// Event is one decision.
+type Event struct {
+	Kind Kind
+	// After is the time since the request arrived.
+	After time.Duration
+	Shard string
+	// Peer names the replica or instance that the decision is about.
+	Peer   string
+	Detail string
+}
+
+// Trace holds the decisions about one request. It is safe for concurrent use;
+// a nil Trace takes nothing.
+type Trace struct {
+	start   time.Time
+	mutex   sync.Mutex
+	events  []Event
+	dropped int
+}
+
+// New returns an empty trace of a request that arrived at start.
+func New(start time.Time) *Trace { return &Trace{start: start} }
+
+// Add notes a decision that was taken now.
+func (trace *Trace) Add(kind Kind, shard, peer, detail string) {
+	if trace == nil {
+		return
+	}
+	after := time.Since(trace.start)
+	trace.mutex.Lock()
+	defer trace.mutex.Unlock()
+	if len(trace.events) >= mostEvents {
+		trace.dropped++
+		return
+	}
+	trace.events = append(trace.events, Event{Kind: kind, After: after, Shard: shard, Peer: peer, Detail: detail})
+}
+
+// Events returns the decisions in their order, and how many more there were.
+func (trace *Trace) Events() ([]Event, int) {
+	if trace == nil {
+		return nil, 0
+	}
+	trace.mutex.Lock()
+	defer trace.mutex.Unlock()
+	return append([]Event(nil), trace.events...), trace.dropped
+}
--- a/internal/state/view/call.go
+++ b/internal/state/view/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 )
 
 // Call is one request of a caller's own form with the View, scope and kind
@@ -19,4 +20,6 @@
 	RoundTrip time.Duration
 	// Deadline is when the answer must be on its way.
 	Deadline time.Time
+	// Trace takes the decisions about the call.
+	Trace *trace.Trace
 }
--- a/internal/wire/quic/endpoint.go
+++ b/internal/wire/quic/endpoint.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,6 +91,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "resolve peer address")
 	}
+	// The library writes its hint about buffers past the log.
+	if err := os.Setenv("QUIC_GO_DISABLE_RECEIVE_BUFFER_WARNING", "true"); err != nil {
+		return nil, errors.Wrap(err, "prepare socket for peers")
+	}
 	socket, err := net.ListenUDP("udp", udp)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers")
