--- a/internal/command/peer/news.go
+++ b/internal/command/peer/news.go
@@ -10,6 +10,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
+	"github.com/mimosaspring/mimosaspring/internal/wire/cbor"
 )
 
 // takeGossip tells control the members and marks, and reads from the sender
@@ -50,7 +51,12 @@
 // that one in force comes before a newer one that was refused.
 func (peers *Peers) takeDocuments(ctx context.Context, documents []api.Document) {
 	for _, document := range documents {
-		_ = peers.mailbox.Send(ctx, message.DocumentReceived{Received: peers.parse(document)})
+		unpacked, err := cbor.Unpack(document)
+		if err != nil {
+			peers.logger.Warn("document of a peer dropped; a digest will repair it", zap.Error(err))
+			continue
+		}
+		_ = peers.mailbox.Send(ctx, message.DocumentReceived{Received: peers.parse(unpacked)})
 	}
 }
 
@@ -60,6 +66,27 @@
 	for _, key := range keys {
 		documents = appendKnown(documents, current, key, 0, 0)
 	}
+	return peers.pack(documents)
+}
+
+// pack compresses long documents, each revision of a key once.
+func (peers *Peers) pack(documents []api.Document) []api.Document {
+	for index, document := range documents {
+		known, isKnown := peers.packed.Load(document.Key)
+		if isKnown && known.(api.Document).Revision == document.Revision {
+			documents[index] = known.(api.Document)
+			continue
+		}
+		packed, err := cbor.Pack(document)
+		if err != nil {
+			peers.logger.Warn("document is passed on as it is", zap.Error(err))
+			continue
+		}
+		if len(packed.Packed) > 0 {
+			peers.packed.Store(document.Key, packed)
+		}
+		documents[index] = packed
+	}
 	return documents
 }
 
@@ -94,6 +121,7 @@
 		key := status.Key
 		reply.Documents = appendKnown(reply.Documents, current, key, inForce[key], refused[key])
 	}
+	reply.Documents = peers.pack(reply.Documents)
 	for name, member := range current.Members {
 		if since, isEnded := current.Ended[name]; isEnded {
 			member.AgeSeconds = ageSeconds(since, now)
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -26,7 +26,7 @@
 	syncInterval  = 500 * time.Millisecond
 	// gatherTime is how long news wait for others that go in the same message;
 	// a change crosses a fleet of 1,700 in some five steps.
-	gatherTime = 10 * time.Millisecond
+	gatherTime = 40 * time.Millisecond
 	// settleTime is how long this instance's own knowledge must have been
 	// unchanged before a difference to a peer counts as news that were missed
 	// rather than on their way, and mostSettleTime when it counts in any case.
@@ -58,6 +58,8 @@
 	sequence  atomic.Uint64
 	waiting   sync.Map
 	syncs     sync.Map
+	// packed holds the last long document of each key as it is passed on.
+	packed sync.Map
 	// differs holds since when each peer's knowledge differs from this one's.
 	differs sync.Map
 	settled settled
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -26,11 +26,12 @@
 
 func (prober *prober) run() {
 	peers := prober.peers
-	ticker := time.NewTicker(peers.settings.ProbeInterval.Duration)
-	defer ticker.Stop()
+	timer := time.NewTimer(peers.probeInterval())
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(peers.probeInterval())
 			prober.probeAll()
 		case <-peers.ctx.Done():
 			return
@@ -70,10 +71,23 @@
 // this interval: of two neighbours one probes, and both know.
 func (peers *Peers) isHeard(name string) bool {
 	heard, isKnown := peers.heard.Load(name)
-	interval := peers.settings.ProbeInterval.Duration
+	interval := peers.probeInterval()
 	return isKnown && time.Since(heard.(time.Time)) < interval-interval/probeSlack
 }
 
+// largeFleet is from how many members each probes half as often, so that the
+// probes of the fleet grow less than the fleet.
+const largeFleet = 32
+
+// probeInterval returns the time between two probes of one neighbour.
+func (peers *Peers) probeInterval() time.Duration {
+	interval := peers.settings.ProbeInterval.Duration
+	if len(peers.published.Load().Members) >= largeFleet {
+		return 2 * interval
+	}
+	return interval
+}
+
 // probe checks one neighbour for a sign of life.
 type probe struct {
 	peers  *Peers
--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
@@ -22,12 +23,42 @@
 	// TargetMargin is what a caller sees beyond the time from a request's
 	// arrival to its answer, where the request does not tell.
 	TargetMargin time.Duration
+
+	lag lag
 }
 
+// lag is how much later than their cut-off answers are ready: what waits for
+// the processor then goes before them. It follows the later answers.
+type lag struct{ nanoseconds atomic.Int64 }
+
 const (
-	// answerTime is how long an answer takes from its cut-off to its last byte
-	// on an instance with a small share of a processor.
-	answerTime = 5 * time.Millisecond
+	// Weights of an answer that is later, and one that is sooner, than the lag,
+	// as one in two to this power.
+	laterShift  = 2
+	soonerShift = 5
+	// mostLag bounds the lag, so that a pause of this process does not make
+	// answers incomplete after it.
+	mostLag = 30 * time.Millisecond
+)
+
+func (lag *lag) get() time.Duration { return time.Duration(lag.nanoseconds.Load()) }
+
+// observe folds in an answer that was cut off and ready so long after it. Two
+// observations at once may lose one.
+func (lag *lag) observe(after time.Duration) {
+	known := lag.get()
+	distance := min(after, mostLag) - known
+	shift := laterShift
+	if distance < 0 {
+		shift = soonerShift
+	}
+	lag.nanoseconds.Store(int64(known + distance>>shift))
+}
+
+const (
+	// answerTime is how long an answer takes from when it is ready to its last
+	// byte on an instance with a small share of a processor.
+	answerTime = 4 * time.Millisecond
 	// mostSpent is the part of the target latency that a caller may have spent
 	// before its request was sent. One that spent more has asked before, or
 	// waits for another time than the scope's timeout.
@@ -67,6 +98,10 @@
 		Deadline:  call.Deadline,
 		Target:    TargetOf(call, relay.TargetMargin),
 		Trace:     call.Trace,
+		Lag:       relay.lag.get(),
+	}
+	if !request.Target.IsZero() {
+		request.Target = request.Target.Add(-request.Lag)
 	}
 	ticket := Ticket{Scope: request.Scope, Selection: request.Selection, Deadline: call.Deadline}
 	if refusal := relay.Admission.Admit(ticket); refusal != nil {
@@ -74,7 +109,12 @@
 		call.Trace.Add(trace.Refused, "", "", refusal.Reason)
 		return api.Answer{Outcome: api.OutcomeNotRun, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter, IsNotRun: true}
 	}
-	return relay.Run(ctx, request)
+	answer := relay.Run(ctx, request)
+	isCut := answer.Outcome == api.OutcomeDone && answer.Coverage.Included < answer.Coverage.Selected
+	if after := time.Since(request.Target); isCut && !request.Target.IsZero() && after >= 0 {
+		relay.lag.observe(after)
+	}
+	return answer
 }
 
 // selectionOf returns the shards that a call covers. A relayed scope covers
--- a/internal/query/upstream/errand.go
+++ b/internal/query/upstream/errand.go
@@ -101,7 +101,7 @@
 		DeadlineLeft: time.Until(request.Deadline),
 	}
 	if !request.Target.IsZero() {
-		query.TargetLeft = max(time.Until(request.Target)-cellMargin, time.Millisecond)
+		query.TargetLeft = max(time.Until(request.Target)-cellMargin-request.Lag, time.Millisecond)
 	}
 	for _, shard := range errand.group.Shards {
 		query.Shards = append(query.Shards, shard.Name)
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -61,14 +61,24 @@
 type Reading struct {
 	// WatchWait is how long one call waits for a change.
 	WatchWait Duration `toml:"watchWait"`
-	// StaleAfter is how long an instance waits for news that the service
-	// answered a reader before it reads by itself.
-	StaleAfter Duration `toml:"staleAfter"`
+	// InForceWithin is the time in which a change must be in force on every
+	// instance.
+	InForceWithin Duration `toml:"inForceWithin"`
 	// ReadersPerFailureDomain is how many instances of a failure domain read
 	// for the others.
 	ReadersPerFailureDomain int `toml:"readersPerFailureDomain"`
 }
 
+// staleShare is the part of InForceWithin after which an instance without news
+// reads by itself; the rest is for the call.
+const staleShare = 0.83
+
+// StaleAfter returns how long an instance waits for news that the service
+// answered a reader before it reads by itself.
+func (reading Reading) StaleAfter() time.Duration {
+	return time.Duration(staleShare * float64(reading.InForceWithin.Duration))
+}
+
 // Process configures what the process takes of its machine.
 type Process struct {
 	// Cores is how many threads run at once; 0 leaves it to the machine.
@@ -169,7 +179,7 @@
 		Log: Log{Level: "info"},
 		Reading: Reading{
 			WatchWait:               Duration{Duration: 20 * time.Second},
-			StaleAfter:              Duration{Duration: 30 * time.Second},
+			InForceWithin:           Duration{Duration: 36 * time.Second},
 			ReadersPerFailureDomain: 3,
 		},
 		Retries: Retries{Ratio: 0.2, Slack: 50, Window: Duration{Duration: 10 * time.Second}},
@@ -312,7 +322,7 @@
 		"callers.targetMargin":   {settings.Callers.TargetMargin.Duration, 0, time.Minute},
 		"stop.leaveTime":         {settings.Stop.LeaveTime.Duration, 0, time.Hour},
 		"reading.watchWait":      {settings.Reading.WatchWait.Duration, 100 * time.Millisecond, time.Minute},
-		"reading.staleAfter":     {settings.Reading.StaleAfter.Duration, 500 * time.Millisecond, time.Hour},
+		"reading.inForceWithin":  {settings.Reading.InForceWithin.Duration, 500 * time.Millisecond, time.Hour},
 		"retries.window":         {settings.Retries.Window.Duration, time.Second, time.Minute},
 		"peers.probeInterval":    {settings.Peers.ProbeInterval.Duration, 50 * time.Millisecond, time.Minute},
 		"peers.probeTimeout":     {settings.Peers.ProbeTimeout.Duration, 10 * time.Millisecond, time.Minute},
--- /dev/null
+++ b/internal/wire/cbor/pack_test.go
@@ -0,0 +1,35 @@
+package cbor_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/wire/cbor"
+)
+
+func TestPackRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		word := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(t, "word")
+		var value []byte
+		for range rapid.IntRange(0, 200).Draw(t, "repeats") {
+			value = append(value, word...)
+		}
+		document := api.Document{Key: "k", Revision: 7, Value: value}
+		packed, err := cbor.Pack(document)
+		assert.NilError(t, err)
+		restored, err := cbor.Unpack(packed)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, restored, document)
+	})
+}
+
+func FuzzUnpack(f *testing.F) {
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		restored, err := cbor.Unpack(api.Document{Key: "k", Packed: packed})
+		assert.Assert(t, err != nil || len(restored.Value) <= api.MaxDocumentBytes)
+	})
+}
