--- a/internal/command/control/homes.go
+++ b/internal/command/control/homes.go
@@ -21,12 +21,14 @@
 
 // Homes assigns each shard of a merged scope to the members that hold the
 // connections to its replicas: alive ones in a failure domain of the replicas,
-// about width shards each, by rendezvous hashing weighted by capacity. Members
+// about width shards each, by rendezvous hashing weighted by capacity. With a
+// width of 0 a query of all shards takes about as many messages as a home then
+// sends, so that neither end is the longer. Members
 // that know the same fleet and configuration agree; two that do not ask
 // different members for a while.
 func Homes(members map[string]api.Member, shards map[view.ShardKey]view.Shard, width int) map[view.ShardKey][]string {
 	if width <= 0 {
-		return nil
+		width = int(math.Ceil(math.Sqrt(float64(len(shards)))))
 	}
 	byDomain := aliveByDomain(members)
 	homes := make(map[view.ShardKey][]string, len(shards))
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -27,8 +27,8 @@
 	// ReadersPerFailureDomain is how many instances of a failure domain read
 	// the platform for the others.
 	ReadersPerFailureDomain int
-	// CellWidth is how many shards a home holds, about; 0 where each instance
-	// asks the replicas itself.
+	// CellWidth is how many shards a home holds, about; 0 leaves it to their
+	// number.
 	CellWidth int
 	// InForce holds the newest valid document of each key, deletions too.
 	InForce map[string]api.Received
--- a/internal/state/api/relay.go
+++ b/internal/state/api/relay.go
@@ -12,9 +12,10 @@
 	Path string `cbor:"-"`
 	// Target is the path and query as the caller sent them.
 	Target string `cbor:"4,keyasint"`
-	// Header holds the end-to-end headers.
-	Header map[string][]string `cbor:"5,keyasint,omitempty"`
-	Body   []byte              `cbor:"6,keyasint,omitempty"`
+	// Header holds the lines of the end-to-end headers but for those that each
+	// attempt sets anew.
+	Header []byte `cbor:"5,keyasint,omitempty"`
+	Body   []byte `cbor:"6,keyasint,omitempty"`
 	// Deadline is how long the caller waits; 0 where it does not say.
 	Deadline time.Duration `cbor:"-"`
 }
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -85,9 +85,18 @@
 	Cores int `toml:"cores"`
 	// MemoryBytes is what the process may hold; 0 leaves it unbounded.
 	MemoryBytes int64 `toml:"memoryBytes"`
-	// Capacity is the processor in thousandths of a core; instances with more
-	// hold more shards. 0 stands for a whole core.
-	Capacity int `toml:"capacity"`
+	// CPUShare is the part of each core that the process gets, 0 to 1; 0 stands
+	// for all. Instances with more hold more shards.
+	CPUShare float64 `toml:"cpuShare"`
+}
+
+// Capacity returns the processor of the process in thousandths of a core.
+func (process Process) Capacity() int {
+	share := process.CPUShare
+	if share == 0 {
+		share = 1
+	}
+	return int(share * float64(max(process.Cores, 1)) * 1_000)
 }
 
 // Retries bounds the requests that all instances together send to an upstream
@@ -166,7 +175,7 @@
 	// Set is "default" or the name of a baseline to compare with.
 	Set string `toml:"set"`
 	// CellWidth is about how many shards of merged scopes one instance holds
-	// the connections to; 0 makes each instance ask the replicas itself.
+	// the connections to; 0 leaves it to their number.
 	CellWidth int `toml:"cellWidth"`
 }
 
@@ -196,7 +205,7 @@
 			ProbeTimeout:     Duration{Duration: 400 * time.Millisecond},
 			SuspicionTimeout: Duration{Duration: 2 * time.Second},
 		},
-		Policy: Policy{Set: "default", CellWidth: 4},
+		Policy: Policy{Set: "default"},
 	}
 }
 
@@ -339,8 +348,8 @@
 	if settings.Policy.CellWidth < 0 {
 		return &FieldError{Key: "policy.cellWidth", Value: "less than 0", Allowed: "0 or more"}
 	}
-	if settings.Process.Cores < 0 || settings.Process.MemoryBytes < 0 || settings.Process.Capacity < 0 {
-		return &FieldError{Key: "process", Value: "less than 0", Allowed: "0 or more"}
+	if settings.Process.Cores < 0 || settings.Process.MemoryBytes < 0 || !(settings.Process.CPUShare >= 0 && settings.Process.CPUShare <= 1) {
+		return &FieldError{Key: "process", Value: "out of range", Allowed: "0 or more, and a cpuShare of at most 1"}
 	}
 	counts := map[string]int{"reading.readersPerFailureDomain": settings.Reading.ReadersPerFailureDomain, "callers.maxKeys": settings.Callers.MaxKeys, "callers.maxInFlight": settings.Callers.MaxInFlight}
 	for key, count := range counts {
--- a/internal/wire/http/decode_test.go
+++ b/internal/wire/http/decode_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -67,3 +68,28 @@
 		}
 	})
 }
+
+// TestDecodeRelayed checks what of a caller's request is passed on.
+func TestDecodeRelayed(t *testing.T) {
+	request := httptest.NewRequest(http.MethodPost, "/burn/a%2fb?q=1", strings.NewReader("sample"))
+	request.Host = "trials.example"
+	request.Header = http.Header{
+		"Mimosa-Request":         {"r-1"},
+		"Mimosa-Deadline-Millis": {"800"},
+		"Mimosa-Replica":         {"forged"},
+		"Connection":             {"keep-alive, X-Hop"},
+		"X-Hop":                  {"this connection only"},
+		"Keep-Alive":             {"timeout=5"},
+		"Accept":                 {"text/plain", "*/*"},
+		"Content-Length":         {"6"},
+	}
+	relayed, err := DecodeRelayed(&OwnNames, request, 6)
+	assert.NilError(t, err)
+	assert.Equal(t, string(relayed.Header), "Accept: text/plain\r\nAccept: */*\r\nMimosa-Request: r-1\r\n")
+	assert.Equal(t, relayed.Target, "/burn/a%2fb?q=1")
+	assert.Equal(t, relayed.Path, "/burn/a%2fb")
+	assert.Equal(t, relayed.Deadline, 800*time.Millisecond)
+	assert.Equal(t, string(relayed.Body), "sample")
+	_, err = DecodeRelayed(&OwnNames, httptest.NewRequest(http.MethodGet, "/", nil), 6)
+	assert.ErrorContains(t, err, "Mimosa-Request")
+}
--- a/internal/wire/http/front.go
+++ b/internal/wire/http/front.go
@@ -48,7 +48,7 @@
 		Host:     request.Host,
 		Path:     path,
 		Target:   request.RequestURI,
-		Header:   EndToEnd(request.Header),
+		Header:   encodeHeader(names, request.Header),
 		Body:     body,
 		Deadline: min(time.Duration(millis)*time.Millisecond, api.MaxDeadline),
 	}, nil
--- a/internal/wire/http/relaycodec.go
+++ b/internal/wire/http/relaycodec.go
@@ -1,6 +1,7 @@
 package http
 
 import (
+	"maps"
 	"net/http"
 	"net/textproto"
 	"slices"
@@ -39,23 +40,20 @@
 	return named
 }
 
+// headRoom holds the request line and the headers that an attempt adds, in
+// bytes, for a usual request.
+const headRoom = 320
+
 // encodeRelayed writes the caller's request as it goes to one replica.
 func encodeRelayed(names *Names, attempt api.Attempt) relayRequest {
 	relayed := attempt.Relayed
-	buffer := make([]byte, 0, 512+len(relayed.Body))
+	buffer := make([]byte, 0, headRoom+len(relayed.Header)+len(relayed.Body))
 	buffer = append(buffer, relayed.Method...)
 	buffer = append(buffer, ' ')
 	buffer = append(buffer, relayed.Target...)
 	buffer = append(buffer, " HTTP/1.1\r\n"...)
 	buffer = appendHeader(buffer, "Host", relayed.Host)
-	for name, values := range relayed.Header {
-		if name == names.Deadline || name == names.Replica {
-			continue
-		}
-		for _, value := range values {
-			buffer = appendHeader(buffer, name, value)
-		}
-	}
+	buffer = append(buffer, relayed.Header...)
 	buffer = appendHeader(buffer, names.Deadline, timeLeft(attempt))
 	if attempt.Replica != "" {
 		buffer = appendHeader(buffer, names.Replica, attempt.Replica)
@@ -68,6 +66,21 @@
 	return relayRequest{method: relayed.Method, identity: relayed.Identity, identityName: names.Identity, bytes: buffer}
 }
 
+// encodeHeader writes the end-to-end headers of a caller's request but for
+// those that each attempt sets anew.
+func encodeHeader(names *Names, header http.Header) []byte {
+	passed := EndToEnd(header)
+	delete(passed, names.Deadline)
+	delete(passed, names.Replica)
+	var lines []byte
+	for _, name := range slices.Sorted(maps.Keys(passed)) {
+		for _, value := range passed[name] {
+			lines = appendHeader(lines, name, value)
+		}
+	}
+	return lines
+}
+
 func appendHeader(buffer []byte, name, value string) []byte {
 	buffer = append(buffer, name...)
 	buffer = append(buffer, ": "...)
--- a/internal/wire/http/relaylink_test.go
+++ b/internal/wire/http/relaylink_test.go
@@ -85,7 +85,7 @@
 		Method:   http.MethodGet,
 		Host:     "trials.example",
 		Target:   "/burn/7?x=%2f",
-		Header:   map[string][]string{"Mimosa-Request": {identity}, "Accept": {"*/*"}},
+		Header:   []byte("Accept: */*\r\nMimosa-Request: " + identity + "\r\n"),
 	}
 	return api.Attempt{Shard: "s", Relayed: relayed, Replica: "i-1", Deadline: time.Now().Add(time.Second)}
 }
@@ -164,7 +164,6 @@
 	attempt := attemptOf("a")
 	attempt.Relayed.Method = http.MethodPost
 	attempt.Relayed.Body = []byte(strings.Repeat("sample", 5_000))
-	attempt.Relayed.Header["Mimosa-Deadline-Millis"] = []string{"99999"}
 	_, err := scripted.link().Send(t.Context(), attempt)
 	assert.NilError(t, err)
 	got := <-scripted.requests
--- /dev/null
+++ b/internal/wire/quic/ask_bench_test.go
@@ -0,0 +1,34 @@
+package quic_test
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/settings"
+	"github.com/mimosaspring/mimosaspring/internal/wire/quic"
+)
+
+// BenchmarkAsk sends cell queries of five shards between two endpoints on
+// loopback; both ends' work counts.
+func BenchmarkAsk(b *testing.B) {
+	config, err := quic.TLSConfig(settings.TLS{})
+	assert.NilError(b, err)
+	block := api.CellBlock{IsFinal: true, Records: make([]byte, 800), Shards: []string{"a", "b", "c", "d", "e"}, Signatures: []string{"a", "b", "c", "d", "e"}}
+	handler := quic.Handler{Cell: func(_ context.Context, _ api.CellQuery, send func(api.CellBlock) error) { _ = send(block) }}
+	server, err := quic.Listen("127.0.0.1:0", config, handler, nil)
+	assert.NilError(b, err)
+	defer server.Close()
+	server.Serve()
+	client, err := quic.Listen("127.0.0.1:0", config, quic.Handler{}, nil)
+	assert.NilError(b, err)
+	defer client.Close()
+	query := api.CellQuery{Index: "fleet", Shards: []string{"a", "b", "c", "d", "e"}, Relayed: api.Relayed{Identity: "0123456789abcdef", Method: "GET", Host: "h.example", Target: "/a/2f", Header: []byte("Accept: */*\r\nUser-Agent: sdk-client/1.9.3\r\n")}}
+	b.ReportAllocs()
+	for b.Loop() {
+		err := client.Ask(b.Context(), server.Address(), query, func(api.CellBlock) {})
+		assert.NilError(b, err)
+	}
+}
