--- a/internal/command/control/homes.go
+++ b/internal/command/control/homes.go
@@ -16,6 +16,9 @@
 // stand-by that is asked while the home is in doubt.
 const homesOfShard = 2
 
+// NoHomes is the width with which no shard has a home.
+const NoHomes = -1
+
 // defaultCapacity stands for a member that does not tell its own.
 const defaultCapacity = 1_000
 
@@ -27,7 +30,10 @@
 // that know the same fleet and configuration agree; two that do not ask
 // different members for a while.
 func Homes(members map[string]api.Member, shards map[view.ShardKey]view.Shard, width int) map[view.ShardKey][]string {
-	if width <= 0 {
+	if width < 0 {
+		return nil
+	}
+	if width == 0 {
 		width = int(math.Ceil(math.Sqrt(float64(len(shards)))))
 	}
 	byDomain := aliveByDomain(members)
--- a/internal/command/upstream/watcher.go
+++ b/internal/command/upstream/watcher.go
@@ -18,6 +18,9 @@
 const (
 	healthInterval = time.Second
 	healthTimeout  = 500 * time.Millisecond
+	// keepInterval is the time between two looks at the links; a home that has
+	// just become one needs its connections soon.
+	keepInterval = 200 * time.Millisecond
 )
 
 // Watcher checks the health of the replicas that this instance owns. The
@@ -27,6 +30,8 @@
 	mailbox   *mailbox.Mailbox[message.Message]
 	links     *http.Links[*http.Link]
 	relays    *http.Links[*http.RelayLink]
+	// kept is the number of the View that the links were last kept by.
+	kept uint64
 }
 
 // NewWatcher returns the watcher of an instance.
@@ -40,20 +45,34 @@
 func (watcher *Watcher) run(ctx context.Context) {
 	ticker := time.NewTicker(healthInterval)
 	defer ticker.Stop()
+	keeper := time.NewTicker(keepInterval)
+	defer keeper.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			watcher.checkAll(ctx)
+		case <-keeper.C:
+			watcher.keepLinks()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// keepLinks closes the links that are no longer needed and shares the
+// connections of the others anew where the View changed.
+func (watcher *Watcher) keepLinks() {
+	current := watcher.published.Load()
+	if current.Number == watcher.kept {
+		return
+	}
+	watcher.kept = current.Number
+	watcher.links.Keep(current)
+	watcher.relays.Keep(current)
+}
+
 func (watcher *Watcher) checkAll(ctx context.Context) {
 	current := watcher.published.Load()
-	watcher.links.Keep(current.Replicas, len(current.Members))
-	watcher.relays.Keep(current.Replicas, len(current.Members))
 	for _, replica := range current.Replicas {
 		isChecked := replica.Upstream.Protocol != api.ProtocolRelay && !replica.Traffic.Leaving.Load()
 		if !isChecked || !IsOwner(current, replica.Instance.Name) {
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -22,6 +22,8 @@
 	reason api.MissingReason
 	// isNotRun is set where the attempt is proved not to have run.
 	isNotRun bool
+	// isUnsent is set where it did not reach the replica.
+	isUnsent bool
 	newer    newer
 }
 
@@ -113,7 +115,7 @@
 	if traffic.Failures.Add(1) >= failuresToSetAside {
 		traffic.FailedUntil.Store(int64(view.Since() + setAsideTime))
 	}
-	return attemptResult{reason: api.MissingFailed, isNotRun: isNotRun}
+	return attemptResult{reason: api.MissingFailed, isNotRun: isNotRun, isUnsent: isNotRun}
 }
 
 // observe tells control what the reply says of its replica.
--- a/internal/query/upstream/cell.go
+++ b/internal/query/upstream/cell.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
 // cell gathers the parts of the shards that this instance holds for a peer.
@@ -80,6 +82,36 @@
 	cell.pending = append(cell.pending, result.part)
 }
 
+const (
+	// slowMultiple is how many times longer than the fastest replica of its
+	// shard a slow one takes.
+	slowMultiple = 3
+	// slowShare is the share of failed attempts from which a replica counts as
+	// slow.
+	slowShare = 0.3
+)
+
+// slowOf returns the hashed names of the replicas that are slow beside the
+// others of their shard.
+func slowOf(shards []view.Shard) []uint32 {
+	now := view.Since()
+	var slow []uint32
+	for _, shard := range shards {
+		fastest := time.Duration(math.MaxInt64)
+		for _, replica := range shard.Replicas {
+			fastest = min(fastest, replica.Traffic.Expected(now))
+		}
+		for _, replica := range shard.Replicas {
+			traffic := replica.Traffic
+			isSlow := fastest > 0 && traffic.Expected(now) > slowMultiple*fastest
+			if isSlow || traffic.FailingShare(now) > slowShare {
+				slow = append(slow, HashOf(replica))
+			}
+		}
+	}
+	return slow
+}
+
 func (cell *cell[C, H, L, P]) flush(isFinal bool) error {
 	block := api.CellBlock{Missing: cell.missing, IsFinal: isFinal, MayHaveRun: cell.pass.unproved.Load() > 0}
 	bodies := make([][]byte, 0, len(cell.pending))
@@ -88,6 +120,9 @@
 		block.Signatures = append(block.Signatures, part.Signature)
 		bodies = append(bodies, part.Body)
 	}
+	if isFinal {
+		block.Slow = slowOf(cell.pass.request.Selection.Shards)
+	}
 	block.Records = Greatest(bodies, cell.pass.request.Scope.TopK)
 	cell.pending, cell.missing = nil, nil
 	return cell.send(block)
--- a/internal/query/upstream/errand.go
+++ b/internal/query/upstream/errand.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,8 @@
 	group Group
 	// left holds the shards that the home has not settled.
 	left map[string]view.Shard
+	// known holds all replicas of the shards.
+	known []*view.Replica
 	// isHeard is set once a block has come.
 	isHeard atomic.Bool
 }
@@ -49,6 +52,7 @@
 	pass := errand.pass
 	errand.left = make(map[string]view.Shard, len(errand.group.Shards))
 	for index, shard := range errand.group.Shards {
+		errand.known = append(errand.known, shard.Replicas...)
 		shard.Replicas = Candidates(shard.Replicas, pass.request.Scope.MaxAttempts)
 		errand.group.Shards[index] = shard
 		errand.left[shard.Name] = shard
@@ -113,22 +117,24 @@
 
 // Candidates returns the replicas that a query may go to where both its home
 // and this instance may send it: as many as its scope allows attempts, so that
-// the two together do not send it to more. Replicas that fail come last.
+// the two together do not send it to more. Replicas that fail or are
+// slow come last.
 func Candidates(replicas []*view.Replica, most int) []*view.Replica {
 	if most <= 0 || len(replicas) <= most {
 		return replicas
 	}
 	now := view.Since()
 	chosen := make([]*view.Replica, 0, len(replicas))
-	var failing []*view.Replica
+	var last []*view.Replica
 	for _, index := range rand.Perm(len(replicas)) {
-		if replicas[index].Traffic.IsFailing(now) {
-			failing = append(failing, replicas[index])
+		traffic := replicas[index].Traffic
+		if traffic.IsFailing(now) || traffic.SlowUntil.Load() > int64(now) {
+			last = append(last, replicas[index])
 		} else {
 			chosen = append(chosen, replicas[index])
 		}
 	}
-	return append(chosen, failing...)[:most]
+	return append(chosen, last...)[:most]
 }
 
 // hashesOf names replicas briefly.
@@ -153,6 +159,7 @@
 	if block.IsFinal && !block.MayHaveRun {
 		pass.unproved.Add(-1)
 	}
+	errand.avoid(block.Slow)
 	result := shardResult{records: block.Records}
 	for index, name := range block.Shards {
 		shard, isLeft := errand.left[name]
@@ -178,6 +185,23 @@
 	}
 }
 
+// slowTime is how long a replica that a home calls slow is asked last. Replicas
+// that are slow for a cause stay so for seconds.
+const slowTime = time.Second
+
+// avoid notes the replicas that the home calls slow.
+func (errand *errand[C, H, L, P]) avoid(slow []uint32) {
+	if len(slow) == 0 {
+		return
+	}
+	until := int64(view.Since() + slowTime)
+	for _, replica := range errand.known {
+		if slices.Contains(slow, HashOf(replica)) {
+			replica.Traffic.SlowUntil.Store(until)
+		}
+	}
+}
+
 func (errand *errand[C, H, L, P]) deliver(result shardResult) {
 	select {
 	case errand.pass.results <- result:
--- a/internal/query/upstream/errand_test.go
+++ b/internal/query/upstream/errand_test.go
@@ -31,6 +31,8 @@
 	fails   bool
 	// breaks is set where the connection ends after the request was sent.
 	breaks bool
+	// unreachable is for how long after the start no connection is accepted.
+	unreachable time.Duration
 }
 
 // stubLink answers attempts as its replica's behaviour says.
@@ -40,11 +42,14 @@
 }
 
 func (stublink *stubLink) Close()              {}
-func (stublink *stubLink) Share(int)           {}
+func (stublink *stubLink) Share(int, bool)     {}
 func (stublink *stubLink) Checked() *http.Link { return nil }
 
 func (stublink *stubLink) Send(ctx context.Context, attempt api.Attempt) (api.Reply, error) {
 	name := stublink.replica.Instance.Name
+	if time.Since(stublink.fleet.started) < stublink.fleet.behaviours[name].unreachable {
+		return api.Reply{}, &http.SendError{Step: "connect to", Peer: name, Cause: errors.New("reset")}
+	}
 	behaviour := stublink.fleet.arrive(attempt.Shard, name)
 	timer := time.NewTimer(behaviour.after)
 	defer timer.Stop()
@@ -75,6 +80,7 @@
 	// ran holds, by shard, the replicas that ran the query.
 	ran      map[string][]string
 	arrivals int
+	started  time.Time
 }
 
 func (stubfleet *stubFleet) arrive(shard, replica string) behaviour {
@@ -361,3 +367,49 @@
 		return nil
 	})
 }
+
+// TestSlowReplicasAreAvoided checks that a replica which a home calls slow is
+// left out while there are others.
+func TestSlowReplicasAreAvoided(t *testing.T) {
+	fleet := &stubFleet{ran: make(map[string][]string), behaviours: make(map[string]behaviour)}
+	shards := newShards(2, 3)
+	placement := &stubPlacement{home: func(_ context.Context, _ api.CellQuery, take func(api.CellBlock)) error {
+		block := blockOf(true, "s0", "s1")
+		block.Slow = []uint32{upstream.HashOf(shards[0].Replicas[1])}
+		take(block)
+		return nil
+	}}
+	request := newRequest(shards)
+	request.Selection.Shards = slices.Clone(shards)
+	newFanout(fleet, placement).Run(t.Context(), request)
+	for range 50 {
+		candidates := upstream.Candidates(shards[0].Replicas, 2)
+		assert.Assert(t, !slices.Contains(candidates, shards[0].Replicas[1]))
+		assert.Equal(t, len(upstream.Candidates(shards[1].Replicas, 2)), 2)
+	}
+	assert.Equal(t, len(upstream.Candidates(shards[0].Replicas, 3)), 3)
+}
+
+// TestUnreachableReplicasAreAskedAgain plays the first moments after all
+// instances started at once: replicas accept no connections for a while. Tries
+// that reach no replica take nothing of the retry budget, and the answer is
+// whole once the replicas accept again.
+func TestUnreachableReplicasAreAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := &stubFleet{ran: make(map[string][]string), behaviours: make(map[string]behaviour), started: time.Now()}
+		shards := newShards(20, 2)
+		for _, shard := range shards {
+			for _, replica := range shard.Replicas {
+				fleet.behaviours[replica.Instance.Name] = behaviour{after: 5 * time.Millisecond, unreachable: 40 * time.Millisecond}
+			}
+		}
+		fanout := newFanout(fleet, upstream.Direct{})
+		answer := fanout.Run(t.Context(), newRequest(shards))
+		assert.Equal(t, answer.Outcome, api.OutcomeDone)
+		assert.Equal(t, answer.Coverage.Included, 20)
+		assert.Equal(t, fleet.arrivals, 20)
+		for range 30 {
+			assert.Assert(t, fanout.Budget.Allow("s0", 1))
+		}
+	})
+}
--- a/internal/query/upstream/fetch.go
+++ b/internal/query/upstream/fetch.go
@@ -156,12 +156,13 @@
 }
 
 // retry starts another attempt after one that brought no part. Where every
-// replica refused it reports true and asks them again after a pause.
+// replica refused, or could not be reached, it reports true and asks them again
+// after a pause.
 func (fetch *fetch[C, H, L, P]) retry(ctx context.Context) bool {
 	if !fetch.mayStart() {
 		return false
 	}
-	if fetch.startAgain(ctx) || fetch.pending > 0 || fetch.worst.reason != api.MissingRefused {
+	if fetch.startAgain(ctx) || fetch.pending > 0 || !(fetch.worst.reason == api.MissingRefused || fetch.worst.isUnsent) {
 		return false
 	}
 	fetch.again.Reset(min(shedPause<<fetch.rounds, mostShedPause))
@@ -174,7 +175,7 @@
 	if !fetch.mayStart() || len(fetch.usable()) == 0 {
 		return false
 	}
-	if !fetch.pass.fanout.Budget.Allow(fetch.shard.Upstream.Name, retryPart) {
+	if !fetch.worst.isUnsent && !fetch.pass.fanout.Budget.Allow(fetch.shard.Upstream.Name, retryPart) {
 		fetch.pass.fanout.Metrics.Add("attempts.overBudget", 1)
 		fetch.note(trace.OverBudget, "", "upstream "+fetch.shard.Upstream.Name)
 		return false
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -166,9 +166,12 @@
 // LogParts lists the parts that log; each name is the prefix of its lines.
 var LogParts = []string{"control", "platform", "peer", "upstream", "caller", "operator", "process"}
 
+// DefaultPolicySet is the set of policies that serves best.
+const DefaultPolicySet = "default"
+
 // PolicySets lists the sets of policies; those other than default are
 // baselines to measure against.
-var PolicySets = []string{"default", "direct", "baseline", "randomChoice", "admitAll"}
+var PolicySets = []string{DefaultPolicySet, "direct", "baseline", "randomChoice", "admitAll"}
 
 // Policy names the policies of the query path.
 type Policy struct {
@@ -205,7 +208,7 @@
 			ProbeTimeout:     Duration{Duration: 400 * time.Millisecond},
 			SuspicionTimeout: Duration{Duration: 2 * time.Second},
 		},
-		Policy: Policy{Set: "default"},
+		Policy: Policy{Set: DefaultPolicySet},
 	}
 }
 
--- a/internal/state/view/replica.go
+++ b/internal/state/view/replica.go
@@ -56,6 +56,9 @@
 	// ColdUntil is until when the replica is slow after its start, in
 	// nanoseconds since Epoch.
 	ColdUntil atomic.Int64
+	// SlowUntil is until when a home has said that the replica is slow, in
+	// nanoseconds since Epoch.
+	SlowUntil atomic.Int64
 	// Held is the highest snapshot that the replica is known to hold.
 	Held atomic.Uint64
 }
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -51,6 +51,18 @@
 	StaleAnswers  int64
 }
 
+// HomesOfUpstreams returns the home of each upstream whose shard has one.
+func (view *View) HomesOfUpstreams() map[string]string {
+	homes := make(map[string]string, len(view.Homes))
+	for key, members := range view.Homes {
+		index := view.Indexes[key.Index]
+		if position, isKnown := index.Positions[key.Shard]; isKnown && len(members) > 0 {
+			homes[index.Shards[position].Upstream.Name] = members[0]
+		}
+	}
+	return homes
+}
+
 // ShardKey names one shard of one index.
 type ShardKey struct {
 	Index string
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -152,7 +152,7 @@
 }
 
 // Share does nothing: the transport's limit is set when the link is made.
-func (link *Link) Share(int) {}
+func (link *Link) Share(int, bool) {}
 
 // Checked returns the link itself: its connection carries several requests.
 func (link *Link) Checked() *Link { return link }
--- a/internal/wire/http/links.go
+++ b/internal/wire/http/links.go
@@ -10,8 +10,9 @@
 // those that its replica accepts.
 type Closer interface {
 	Close()
-	// Share sets the share to that of one of so many instances.
-	Share(instances int)
+	// Share sets the share to that of one of so many instances. One that is no
+	// home of the replica's shard keeps a single connection.
+	Share(instances int, isHome bool)
 }
 
 // Links holds the link of each replica's incarnation.
@@ -56,21 +57,32 @@
 	return link
 }
 
-// Keep closes the links to replicas that are not in replicas, and shares the
-// connections of the others among so many instances.
-func (links *Links[L]) Keep(replicas map[string]*view.Replica, instances int) {
-	kept := make(map[linkKey]bool, len(replicas))
-	for _, replica := range replicas {
-		kept[keyOf(replica)] = true
+// homesAtOnce is how many instances may hold a home's share of a replica's
+// connections for a while: the home, its stand-by and the home before it.
+const homesAtOnce = 3
+
+// Keep closes the links to replicas that are not in current, and shares the
+// connections of the others among the members, most of them for the homes.
+func (links *Links[L]) Keep(current *view.View) {
+	kept := make(map[linkKey]*view.Replica, len(current.Replicas))
+	for _, replica := range current.Replicas {
+		kept[keyOf(replica)] = replica
 	}
+	homes := current.HomesOfUpstreams()
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	for key, link := range links.links {
-		if !kept[key] {
+		replica := kept[key]
+		if replica == nil {
 			delete(links.links, key)
 			link.Close()
 			continue
 		}
-		link.Share(instances)
+		home, isPlaced := homes[replica.Upstream.Name]
+		instances := len(current.Members)
+		if isPlaced {
+			instances = min(instances, homesAtOnce)
+		}
+		link.Share(instances, !isPlaced || home == current.Self.Instance.Name)
 	}
 }
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -57,16 +57,22 @@
 func OpenRelayLink(names *Names) func(*view.Replica, int) *RelayLink {
 	return func(replica *view.Replica, instances int) *RelayLink {
 		relaylink := &RelayLink{names: names, address: replica.Instance.Address, upstream: replica.Upstream}
-		relaylink.Share(instances)
+		relaylink.Share(instances, false)
 		return relaylink
 	}
 }
 
-// Share sets the link's share of the replica's connections to that of one of
-// so many instances, within what the replica's slots can use.
-func (relaylink *RelayLink) Share(instances int) {
+// Share sets the link's share of the replica's connections: for a home to that
+// of one of so many instances, within what the replica's slots can use, for
+// others, and until it is known, to a single one. Instances that all start at
+// once would otherwise take each replica's connections from one another.
+func (relaylink *RelayLink) Share(instances int, isHome bool) {
 	relaylink.mutex.Lock()
 	defer relaylink.mutex.Unlock()
+	if !isHome {
+		relaylink.most = 1
+		return
+	}
 	share := shareOf(relaylink.upstream, instances, relayReserve)
 	relaylink.most = min(share, max(relaylink.upstream.Slots, 1)+relayBeyondSlots)
 }
--- a/internal/wire/http/relaylink_test.go
+++ b/internal/wire/http/relaylink_test.go
@@ -356,3 +356,28 @@
 		}
 	}
 }
+
+// TestRelayLinkShare checks how many connections a link may open.
+func TestRelayLinkShare(t *testing.T) {
+	tests := map[string]struct {
+		limit, slots, instances int
+		isHome                  bool
+		want                    int
+	}{
+		"a home, few instances":     {limit: 26, slots: 2, instances: 1, isHome: true, want: 4},
+		"a home, eight instances":   {limit: 26, slots: 2, instances: 8, isHome: true, want: 3},
+		"many instances, no homes":  {limit: 62, slots: 2, instances: 80, isHome: true, want: 1},
+		"a home beside two others":  {limit: 62, slots: 2, instances: 3, isHome: true, want: 4},
+		"no home":                   {limit: 26, slots: 2, instances: 1, want: 1},
+		"a replica with many slots": {limit: 110, slots: 3, instances: 8, isHome: true, want: 5},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			upstream := api.Upstream{ConnectionLimit: test.limit, Slots: test.slots}
+			link := OpenRelayLink(&OwnNames)(&view.Replica{Upstream: upstream}, test.instances)
+			assert.Equal(t, link.most, 1, "until it is known who the homes are")
+			link.Share(test.instances, test.isHome)
+			assert.Equal(t, link.most, test.want)
+		})
+	}
+}
