--- a/internal/command/upstream/watcher.go
+++ b/internal/command/upstream/watcher.go
@@ -63,12 +63,12 @@
 // connections of the others anew where the View changed.
 func (watcher *Watcher) keepLinks() {
 	current := watcher.published.Load()
-	if current.Number == watcher.kept {
-		return
+	if current.Number != watcher.kept {
+		watcher.kept = current.Number
+		watcher.links.Keep(current)
+		watcher.relays.Keep(current)
 	}
-	watcher.kept = current.Number
-	watcher.links.Keep(current)
-	watcher.relays.Keep(current)
+	watcher.relays.WarmHome(current)
 }
 
 func (watcher *Watcher) checkAll(ctx context.Context) {
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -154,6 +154,9 @@
 // Share does nothing: the transport's limit is set when the link is made.
 func (link *Link) Share(int, bool) {}
 
+// Warm does nothing: one connection carries all requests.
+func (link *Link) Warm() {}
+
 // Checked returns the link itself: its connection carries several requests.
 func (link *Link) Checked() *Link { return link }
 
--- a/internal/wire/http/links.go
+++ b/internal/wire/http/links.go
@@ -13,6 +13,9 @@
 	// Share sets the share to that of one of so many instances. One that is no
 	// home of the replica's shard keeps a single connection.
 	Share(instances int, isHome bool)
+	// Warm opens a connection ahead of its first request where the link has
+	// few.
+	Warm()
 }
 
 // Links holds the link of each replica's incarnation.
@@ -35,6 +38,17 @@
 	return linkKey{name: instance.Name, address: instance.Address, incarnation: instance.Incarnation}
 }
 
+// WarmHome opens connections ahead of requests to the replicas whose shard has
+// this instance as its home.
+func (links *Links[L]) WarmHome(current *view.View) {
+	homes := current.HomesOfUpstreams()
+	for _, replica := range current.Replicas {
+		if homes[replica.Upstream.Name] == current.Self.Instance.Name && !replica.Traffic.Leaving.Load() {
+			links.Get(replica, len(current.Members)).Warm()
+		}
+	}
+}
+
 // Get returns the link to replica.
 func (links *Links[L]) Get(replica *view.Replica, instances int) L {
 	key := keyOf(replica)
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -50,6 +50,8 @@
 	// for the right to open one.
 	waiting  []chan *relayConn
 	isClosed bool
+	// isWarming is set while a connection is opened ahead.
+	isWarming bool
 }
 
 // OpenRelayLink returns the function that Links asks for a link whose headers
@@ -213,6 +215,36 @@
 	}
 }
 
+// Warm opens a connection where the link has fewer than the replica has slots.
+// It returns at once.
+func (relaylink *RelayLink) Warm() {
+	relaylink.mutex.Lock()
+	defer relaylink.mutex.Unlock()
+	isNeeded := relaylink.open < min(relaylink.upstream.Slots, relaylink.most) && !relaylink.isClosed
+	if !isNeeded || relaylink.isWarming {
+		return
+	}
+	relaylink.open++
+	relaylink.isWarming = true
+	go relaylink.run()
+}
+
+// run opens the connection that Warm asked for.
+func (relaylink *RelayLink) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), relayDialTimeout)
+	defer cancel()
+	conn, err := relaylink.dial(ctx)
+	if err != nil {
+		conn = nil
+	} else {
+		conn.idleUntil = time.Now().Add(relayIdle)
+	}
+	relaylink.release(conn)
+	relaylink.mutex.Lock()
+	defer relaylink.mutex.Unlock()
+	relaylink.isWarming = false
+}
+
 func (relaylink *RelayLink) dial(ctx context.Context) (*relayConn, error) {
 	dialer := net.Dialer{Timeout: relayDialTimeout, KeepAlive: -1, ControlContext: setUserTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", relaylink.address)
--- a/internal/wire/http/relaylink_test.go
+++ b/internal/wire/http/relaylink_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 	// readsBody is unset where the replica answers before it reads a body.
 	leavesBody bool
 	requests   chan *http.Request
+	// count is how many requests came.
+	count atomic.Int64
 }
 
 func startReplica(t *testing.T, script func(number int, request *http.Request) (string, bool)) *scriptedReplica {
@@ -42,30 +45,40 @@
 }
 
 func (scriptedreplica *scriptedReplica) run() {
-	for number := 0; ; {
+	for {
 		conn, err := scriptedreplica.listener.Accept()
 		if err != nil {
 			return
 		}
-		reader := bufio.NewReader(conn)
-		for {
-			request, err := http.ReadRequest(reader)
-			if err != nil {
-				break
-			}
-			if !scriptedreplica.leavesBody {
-				body, _ := io.ReadAll(request.Body)
-				request.Body = io.NopCloser(strings.NewReader(string(body)))
-			}
-			scriptedreplica.requests <- request
-			answer, isLast := scriptedreplica.script(number, request)
-			number++
-			_, _ = io.WriteString(conn, answer)
-			if isLast {
-				break
-			}
+		go (&scriptedConn{replica: scriptedreplica, conn: conn}).run()
+	}
+}
+
+// scriptedConn is one connection to a scripted replica.
+type scriptedConn struct {
+	replica *scriptedReplica
+	conn    net.Conn
+}
+
+func (scriptedconn *scriptedConn) run() {
+	defer scriptedconn.conn.Close()
+	replica := scriptedconn.replica
+	reader := bufio.NewReader(scriptedconn.conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !replica.leavesBody {
+			body, _ := io.ReadAll(request.Body)
+			request.Body = io.NopCloser(strings.NewReader(string(body)))
+		}
+		replica.requests <- request
+		answer, isLast := replica.script(int(replica.count.Add(1))-1, request)
+		_, _ = io.WriteString(scriptedconn.conn, answer)
+		if isLast {
+			return
 		}
-		_ = conn.Close()
 	}
 }
 
@@ -381,3 +394,32 @@
 		})
 	}
 }
+
+// TestRelayLinkWarms checks that a link opens as many connections ahead as the
+// replica has slots, and that requests use them.
+func TestRelayLinkWarms(t *testing.T) {
+	scripted := startReplica(t, func(_ int, request *http.Request) (string, bool) {
+		return answerTo(request.Header.Get("Mimosa-Request"), ""), false
+	})
+	link := scripted.link()
+	link.upstream.Slots = 2
+	link.Share(3, true)
+	count := func() (int, int) {
+		link.mutex.Lock()
+		defer link.mutex.Unlock()
+		return link.open, len(link.idle)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		link.Warm()
+		if open, idle := count(); open == 2 && idle == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("connections are opened")
+	})
+	link.Warm()
+	_, err := link.Send(t.Context(), attemptOf("a"))
+	assert.NilError(t, err)
+	open, idle := count()
+	assert.Equal(t, open, 2)
+	assert.Equal(t, idle, 2)
+}
