--- a/internal/query/upstream/errand.go
+++ b/internal/query/upstream/homequery.go
@@ -34,9 +34,9 @@
 	longPatience = 300 * time.Millisecond
 )
 
-// errand asks one home for its shards of one query, and the replicas of those
+// homeQuery asks one home for its shards of one query, and the replicas of those
 // shards itself where the home fails.
-type errand[C Choice, H Hedge, L Link, P Placement] struct {
+type homeQuery[C Choice, H Hedge, L Link, P Placement] struct {
 	pass  *pass[C, H, L, P]
 	ctx   context.Context
 	group Group
@@ -48,32 +48,32 @@
 	isHeard atomic.Bool
 }
 
-func (errand *errand[C, H, L, P]) run() {
-	pass := errand.pass
-	errand.left = make(map[string]view.Shard, len(errand.group.Shards))
-	for index, shard := range errand.group.Shards {
-		errand.known = append(errand.known, shard.Replicas...)
+func (homequery *homeQuery[C, H, L, P]) run() {
+	pass := homequery.pass
+	homequery.left = make(map[string]view.Shard, len(homequery.group.Shards))
+	for index, shard := range homequery.group.Shards {
+		homequery.known = append(homequery.known, shard.Replicas...)
 		shard.Replicas = Candidates(shard.Replicas, pass.request.Scope.MaxAttempts)
-		errand.group.Shards[index] = shard
-		errand.left[shard.Name] = shard
+		homequery.group.Shards[index] = shard
+		homequery.left[shard.Name] = shard
 	}
-	query := errand.query()
-	ctx, cancel := context.WithCancelCause(errand.ctx)
+	query := homequery.query()
+	ctx, cancel := context.WithCancelCause(homequery.ctx)
 	defer cancel(api.ErrAnswered)
 	patience := longPatience
 	if query.TargetLeft > 0 {
 		patience = time.Duration(progressShare*float64(query.TargetLeft)) + patienceMargin
 	}
 	watch := time.AfterFunc(patience, func() {
-		if !errand.isHeard.Load() {
+		if !homequery.isHeard.Load() {
 			cancel(ErrSilent)
 		}
 	})
 	defer watch.Stop()
 	pass.unproved.Add(1)
-	errand.note(trace.Asked, strconv.Itoa(len(query.Shards))+" shards")
-	err := pass.fanout.Placement.Ask(ctx, errand.group, query, errand.take)
-	if errand.ctx.Err() != nil {
+	homequery.note(trace.Asked, strconv.Itoa(len(query.Shards))+" shards")
+	err := pass.fanout.Placement.Ask(ctx, homequery.group, query, homequery.take)
+	if homequery.ctx.Err() != nil {
 		return
 	}
 	isSent := !errors.Is(err, api.ErrNotSent)
@@ -82,20 +82,23 @@
 	}
 	if err != nil {
 		pass.fanout.Metrics.Add("homes.passedOver", 1)
-		errand.note(trace.PassedOver, err.Error())
+		if errors.Is(context.Cause(ctx), ErrSilent) {
+			err = ErrSilent
+		}
+		homequery.note(trace.PassedOver, err.Error())
 	}
-	for _, shard := range errand.left {
-		fetch := &fetch[C, H, L, P]{pass: pass, ctx: errand.ctx, shard: shard, isRepeat: err != nil && isSent}
+	for _, shard := range homequery.left {
+		fetch := &fetch[C, H, L, P]{pass: pass, ctx: homequery.ctx, shard: shard, isRepeat: err != nil && isSent}
 		go fetch.run()
 	}
 }
 
-func (errand *errand[C, H, L, P]) note(kind trace.Kind, detail string) {
-	errand.pass.request.Trace.Add(kind, "", errand.group.Peer.Instance.Name, detail)
+func (homequery *homeQuery[C, H, L, P]) note(kind trace.Kind, detail string) {
+	homequery.pass.request.Trace.Add(kind, "", homequery.group.Peer.Instance.Name, detail)
 }
 
-func (errand *errand[C, H, L, P]) query() api.CellQuery {
-	request := &errand.pass.request
+func (homequery *homeQuery[C, H, L, P]) query() api.CellQuery {
+	request := &homequery.pass.request
 	query := api.CellQuery{
 		Index:        request.Scope.Index,
 		Form:         request.Scope.Form,
@@ -107,7 +110,7 @@
 	if !request.Target.IsZero() {
 		query.TargetLeft = max(time.Until(request.Target)-cellMargin-request.Lag, time.Millisecond)
 	}
-	for _, shard := range errand.group.Shards {
+	for _, shard := range homequery.group.Shards {
 		query.Shards = append(query.Shards, shard.Name)
 		query.Epochs = append(query.Epochs, shard.Epoch)
 		query.Replicas = append(query.Replicas, hashesOf(shard.Replicas))
@@ -153,16 +156,16 @@
 
 // take passes on what a block settles. A shard whose replicas the home does
 // not know is left for this instance.
-func (errand *errand[C, H, L, P]) take(block api.CellBlock) {
-	errand.isHeard.Store(true)
-	pass := errand.pass
+func (homequery *homeQuery[C, H, L, P]) take(block api.CellBlock) {
+	homequery.isHeard.Store(true)
+	pass := homequery.pass
 	if block.IsFinal && !block.MayHaveRun {
 		pass.unproved.Add(-1)
 	}
-	errand.avoid(block.Slow)
+	homequery.avoid(block.Slow)
 	result := shardResult{records: block.Records}
 	for index, name := range block.Shards {
-		shard, isLeft := errand.left[name]
+		shard, isLeft := homequery.left[name]
 		if !isLeft || index >= len(block.Signatures) {
 			pass.fanout.Metrics.Add("blocks.foreign", 1)
 			return
@@ -171,16 +174,16 @@
 		result.block = append(result.block, part)
 	}
 	for _, name := range block.Shards {
-		delete(errand.left, name)
+		delete(homequery.left, name)
 	}
 	if len(result.block) > 0 {
-		errand.deliver(result)
+		homequery.deliver(result)
 	}
 	for _, missing := range block.Missing {
-		if _, isLeft := errand.left[missing.Shard]; isLeft && missing.Reason != api.MissingMoved {
-			delete(errand.left, missing.Shard)
-			pass.request.Trace.Add(trace.GaveUp, missing.Shard, errand.group.Peer.Instance.Name, string(missing.Reason))
-			errand.deliver(shardResult{shard: missing.Shard, reason: missing.Reason})
+		if _, isLeft := homequery.left[missing.Shard]; isLeft && missing.Reason != api.MissingMoved {
+			delete(homequery.left, missing.Shard)
+			pass.request.Trace.Add(trace.GaveUp, missing.Shard, homequery.group.Peer.Instance.Name, string(missing.Reason))
+			homequery.deliver(shardResult{shard: missing.Shard, reason: missing.Reason})
 		}
 	}
 }
@@ -190,21 +193,21 @@
 const slowTime = time.Second
 
 // avoid notes the replicas that the home calls slow.
-func (errand *errand[C, H, L, P]) avoid(slow []uint32) {
+func (homequery *homeQuery[C, H, L, P]) avoid(slow []uint32) {
 	if len(slow) == 0 {
 		return
 	}
 	until := int64(view.Since() + slowTime)
-	for _, replica := range errand.known {
+	for _, replica := range homequery.known {
 		if slices.Contains(slow, HashOf(replica)) {
 			replica.Traffic.SlowUntil.Store(until)
 		}
 	}
 }
 
-func (errand *errand[C, H, L, P]) deliver(result shardResult) {
+func (homequery *homeQuery[C, H, L, P]) deliver(result shardResult) {
 	select {
-	case errand.pass.results <- result:
-	case <-errand.ctx.Done():
+	case homequery.pass.results <- result:
+	case <-homequery.ctx.Done():
 	}
 }
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -69,8 +69,8 @@
 func (pass *pass[C, H, L, P]) launch(ctx context.Context) {
 	local, groups := pass.fanout.Placement.Place(&pass.request)
 	for _, group := range groups {
-		errand := &errand[C, H, L, P]{pass: pass, ctx: ctx, group: group}
-		go errand.run()
+		query := &homeQuery[C, H, L, P]{pass: pass, ctx: ctx, group: group}
+		go query.run()
 	}
 	for _, shard := range local {
 		fetch := &fetch[C, H, L, P]{pass: pass, ctx: ctx, shard: shard}
