command/control, query/peer: a home in each failure domain of the replicas

Change: each failure domain of a shard's replicas has a home; a query goes to those of its own domain, and to one other domain where that has no replicas. The homes of upstreams are worked out once a View, not five times a second.

--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -24,33 +24,36 @@
 		buildRoles(state, members)
 	}
 	if effects.Rebuild || effects.Membership {
-		state.homes = Homes(members, mergedShards(state.configuration.scopes), state.CellWidth)
+		shards := mergedShards(state.configuration.scopes)
+		state.homes = Homes(members, shards, state.CellWidth)
+		state.homedUpstreams = homedUpstreams(state.homes, shards, state.Self.Instance.Name)
 	}
 	state.number++
 	configuration, roles := state.configuration, state.roles
 	return &view.View{
-		Number:        state.number,
-		Self:          state.Self,
-		Members:       members,
-		Listed:        configuration.listed,
-		InForce:       configuration.inForce,
-		Refused:       configuration.refused,
-		Neighbours:    roles.neighbours,
-		IsReader:      roles.isReader,
-		Homes:         state.homes,
-		Indexes:       configuration.indexes,
-		Scopes:        configuration.scopes,
-		Routes:        configuration.routes,
-		Limits:        configuration.limits,
-		Replicas:      state.Replicas,
-		Keys:          configuration.keys,
-		Digest:        configuration.digest,
-		MembersDigest: roles.digest,
-		Marks:         configuration.marks,
-		Stopped:       roles.stopped,
-		Ended:         roles.ended,
-		PlatformHeard: state.PlatformHeard,
-		StaleAnswers:  state.StaleAnswers,
+		Number:         state.number,
+		Self:           state.Self,
+		Members:        members,
+		Listed:         configuration.listed,
+		InForce:        configuration.inForce,
+		Refused:        configuration.refused,
+		Neighbours:     roles.neighbours,
+		IsReader:       roles.isReader,
+		Homes:          state.homes,
+		HomedUpstreams: state.homedUpstreams,
+		Indexes:        configuration.indexes,
+		Scopes:         configuration.scopes,
+		Routes:         configuration.routes,
+		Limits:         configuration.limits,
+		Replicas:       state.Replicas,
+		Keys:           configuration.keys,
+		Digest:         configuration.digest,
+		MembersDigest:  roles.digest,
+		Marks:          configuration.marks,
+		Stopped:        roles.stopped,
+		Ended:          roles.ended,
+		PlatformHeard:  state.PlatformHeard,
+		StaleAnswers:   state.StaleAnswers,
 	}
 }
 
--- a/internal/command/control/homes.go
+++ b/internal/command/control/homes.go
@@ -23,13 +23,13 @@
 const defaultCapacity = 1_000
 
 // Homes assigns each shard of a merged scope to the members that hold the
-// connections to its replicas: alive ones in a failure domain of the replicas,
-// about width shards each, by rendezvous hashing weighted by capacity. With a
-// width of 0 a query of all shards takes about as many messages as a home then
-// sends, so that neither end is the longer. Members
-// that know the same fleet and configuration agree; two that do not ask
-// different members for a while.
-func Homes(members map[string]api.Member, shards map[view.ShardKey]view.Shard, width int) map[view.ShardKey][]string {
+// connections to its replicas: in each failure domain of the replicas an alive
+// one, so that a query need not leave its domain. A home has about width shards,
+// by rendezvous hashing weighted by capacity. With a width of 0 a query of all
+// shards takes about as many messages as a home then sends, so that neither end
+// is the longer. Members that know the same fleet and configuration agree; two
+// that do not ask different members for a while.
+func Homes(members map[string]api.Member, shards map[view.ShardKey]view.Shard, width int) map[view.ShardKey]view.DomainHomes {
 	if width < 0 {
 		return nil
 	}
@@ -37,13 +37,33 @@
 		width = int(math.Ceil(math.Sqrt(float64(len(shards)))))
 	}
 	byDomain := aliveByDomain(members)
-	homes := make(map[view.ShardKey][]string, len(shards))
+	homes := make(map[view.ShardKey]view.DomainHomes, len(shards))
 	for domain, keys := range shardsByDomain(shards, byDomain) {
-		assignShards(homes, byDomain[domain], keys, width)
+		assignShards(homes, domain, byDomain[domain], keys, width)
 	}
 	return homes
 }
 
+// homedUpstreams returns the upstreams whose shards have homes, and whether
+// the member of the given name is one of them.
+func homedUpstreams(homes map[view.ShardKey]view.DomainHomes, shards map[view.ShardKey]view.Shard, name string) map[string]bool {
+	homed := make(map[string]bool, len(homes))
+	for key, domains := range homes {
+		upstream := shards[key].Upstream.Name
+		homed[upstream] = homed[upstream] || isHome(domains, name)
+	}
+	return homed
+}
+
+func isHome(domains view.DomainHomes, name string) bool {
+	for _, members := range domains {
+		if members[0] == name {
+			return true
+		}
+	}
+	return false
+}
+
 func aliveByDomain(members map[string]api.Member) map[string][]api.Member {
 	byDomain := make(map[string][]api.Member)
 	for _, name := range slices.Sorted(maps.Keys(members)) {
@@ -55,20 +75,12 @@
 	return byDomain
 }
 
-// shardsByDomain gives each shard to the failure domain of one of its replicas
-// that has the most capacity for each of its shards so far.
+// shardsByDomain gives each shard to the failure domains of its replicas.
 func shardsByDomain(shards map[view.ShardKey]view.Shard, byDomain map[string][]api.Member) map[string][]view.ShardKey {
 	given := make(map[string][]view.ShardKey)
 	for _, key := range slices.SortedFunc(maps.Keys(shards), compareShardKeys) {
-		best, most := "", 0.0
 		for _, domain := range domainsOf(shards[key], byDomain) {
-			room := float64(capacityOf(byDomain[domain])) / float64(len(given[domain])+1)
-			if room > most {
-				best, most = domain, room
-			}
-		}
-		if best != "" {
-			given[best] = append(given[best], key)
+			given[domain] = append(given[domain], key)
 		}
 	}
 	return given
@@ -111,7 +123,7 @@
 
 // assignShards gives the shards of one failure domain to as many of its
 // members as the width asks for, none more than its share.
-func assignShards(homes map[view.ShardKey][]string, members []api.Member, keys []view.ShardKey, width int) {
+func assignShards(homes map[view.ShardKey]view.DomainHomes, domain string, members []api.Member, keys []view.ShardKey, width int) {
 	count := min((len(keys)+width-1)/width, len(members))
 	chosen := rankMembers("home", members)[:count]
 	total := capacityOf(chosen)
@@ -124,7 +136,10 @@
 		})
 		name := ranked[home].Instance.Name
 		taken[name]++
-		homes[key] = append([]string{name}, standBys(name, key, members)...)
+		if homes[key] == nil {
+			homes[key] = make(view.DomainHomes)
+		}
+		homes[key][domain] = append([]string{name}, standBys(name, key, members)...)
 	}
 }
 
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -50,9 +50,10 @@
 
 	number uint64
 	// Both are kept from View to View until what they follow from changes.
-	configuration configuration
-	roles         roles
-	homes         map[view.ShardKey][]string
+	configuration  configuration
+	roles          roles
+	homes          map[view.ShardKey]view.DomainHomes
+	homedUpstreams map[string]bool
 }
 
 // configuration is the part of a View that follows from the documents and
--- a/internal/query/peer/homes.go
+++ b/internal/query/peer/homes.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -65,8 +66,10 @@
 func (homes *Homes) warm(ctx context.Context) {
 	current := homes.Published.Load()
 	names := make(map[string]bool)
-	for _, members := range current.Homes {
-		names[members[0]] = true
+	for _, domains := range current.Homes {
+		for _, members := range ownDomains(domains, current.Self.Instance.FailureDomain) {
+			names[members[0]] = true
+		}
 	}
 	delete(names, current.Self.Instance.Name)
 	for _, name := range slices.Sorted(maps.Keys(names)) {
@@ -74,15 +77,25 @@
 	}
 }
 
-// Place groups the shards of a merged query by the first of their homes that
-// is not in doubt.
+// ownDomains returns the homes in the given failure domain, or all where it
+// has none.
+func ownDomains(domains view.DomainHomes, failureDomain string) view.DomainHomes {
+	if members, isKnown := domains[failureDomain]; isKnown {
+		return view.DomainHomes{failureDomain: members}
+	}
+	return domains
+}
+
+// Place groups the shards of a merged query by their homes: those of this
+// instance's failure domain, or of another where there is none or they are in
+// doubt.
 func (homes *Homes) Place(request *upstream.Request) ([]view.Shard, []upstream.Group) {
 	shards := request.Selection.Shards
 	isPlaced := request.Scope.Form == api.FormMerged && request.Scope.MaxAttempts != 1
 	if !isPlaced || len(request.View.Homes) == 0 {
 		return shards, nil
 	}
-	placing := placing{homes: homes, current: request.View, usable: make(map[string]bool)}
+	placing := newPlacing(homes, request.View)
 	var local []view.Shard
 	groups := make(map[string][]view.Shard)
 	for _, shard := range shards {
@@ -105,27 +118,54 @@
 type placing struct {
 	homes   *Homes
 	current *view.View
+	// domains holds the failure domains in the order in which their homes are
+	// asked: the own one first, the others at random, so that queries from a
+	// domain without replicas load the others alike. One order for all shards
+	// of a query keeps its messages few.
+	domains []string
 	// usable holds the verdict on each peer, which is taken once a query.
 	usable map[string]bool
 }
 
-func (placing *placing) choose(members []string) string {
-	for _, name := range members {
-		if name == placing.current.Self.Instance.Name {
-			return name
+func newPlacing(homes *Homes, current *view.View) *placing {
+	placing := &placing{homes: homes, current: current, usable: make(map[string]bool)}
+	own := current.Self.Instance.FailureDomain
+	isListed := map[string]bool{own: true}
+	for _, member := range current.Members {
+		if domain := member.Instance.FailureDomain; !isListed[domain] {
+			isListed[domain] = true
+			placing.domains = append(placing.domains, domain)
 		}
-		isUsable, isKnown := placing.usable[name]
-		if !isKnown {
-			isUsable = placing.current.Members[name].State == api.MemberAlive && placing.homes.isUsable(name)
-			placing.usable[name] = isUsable
-		}
-		if isUsable {
-			return name
+	}
+	rand.Shuffle(len(placing.domains), func(i, j int) {
+		placing.domains[i], placing.domains[j] = placing.domains[j], placing.domains[i]
+	})
+	placing.domains = append([]string{own}, placing.domains...)
+	return placing
+}
+
+// choose returns the member to ask for a shard with the given homes; "" where
+// all are in doubt.
+func (placing *placing) choose(homes view.DomainHomes) string {
+	for _, domain := range placing.domains {
+		for _, name := range homes[domain] {
+			if name == placing.current.Self.Instance.Name || placing.isUsable(name) {
+				return name
+			}
 		}
 	}
 	return ""
 }
 
+func (placing *placing) isUsable(name string) bool {
+	isUsable, isKnown := placing.usable[name]
+	if !isKnown {
+		isUsable = placing.current.Members[name].State == api.MemberAlive && placing.homes.isUsable(name)
+		placing.usable[name] = isUsable
+	}
+	return isUsable
+}
+
 // isUsable reports whether a peer is not in doubt, or whether this query is
 // the one that tries it again.
 func (homes *Homes) isUsable(name string) bool {
--- a/internal/query/upstream/homequery.go
+++ b/internal/query/upstream/homequery.go
@@ -53,7 +53,7 @@
 	homequery.left = make(map[string]view.Shard, len(homequery.group.Shards))
 	for index, shard := range homequery.group.Shards {
 		homequery.known = append(homequery.known, shard.Replicas...)
-		shard.Replicas = Candidates(shard.Replicas, pass.request.Scope.MaxAttempts)
+		shard.Replicas = Candidates(shard.Replicas, pass.request.Scope.MaxAttempts, homequery.group.Peer.Instance.FailureDomain)
 		homequery.group.Shards[index] = shard
 		homequery.left[shard.Name] = shard
 	}
@@ -120,24 +120,27 @@
 
 // Candidates returns the replicas that a query may go to where both its home
 // and this instance may send it: as many as its scope allows attempts, so that
-// the two together do not send it to more. Replicas that fail or are
-// slow come last.
-func Candidates(replicas []*view.Replica, most int) []*view.Replica {
+// the two together do not send it to more. Replicas of the home's failure
+// domain come first; those that fail or are slow come last.
+func Candidates(replicas []*view.Replica, most int, failureDomain string) []*view.Replica {
 	if most <= 0 || len(replicas) <= most {
 		return replicas
 	}
 	now := view.Since()
 	chosen := make([]*view.Replica, 0, len(replicas))
-	var last []*view.Replica
+	var far, last []*view.Replica
 	for _, index := range rand.Perm(len(replicas)) {
-		traffic := replicas[index].Traffic
-		if traffic.IsFailing(now) || traffic.SlowUntil.Load() > int64(now) {
-			last = append(last, replicas[index])
-		} else {
-			chosen = append(chosen, replicas[index])
+		replica := replicas[index]
+		switch {
+		case replica.Traffic.IsFailing(now) || replica.Traffic.SlowUntil.Load() > int64(now):
+			last = append(last, replica)
+		case replica.Instance.FailureDomain == failureDomain:
+			chosen = append(chosen, replica)
+		default:
+			far = append(far, replica)
 		}
 	}
-	return append(chosen, last...)[:most]
+	return slices.Concat(chosen, far, last)[:most]
 }
 
 // hashesOf names replicas briefly.
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -32,8 +32,11 @@
 	// Neighbours names the members that this instance probes and tells news.
 	Neighbours []string
 	// Homes holds, for the shards of merged scopes, the members that hold the
-	// connections to their replicas, in the order in which they are asked.
-	Homes map[ShardKey][]string
+	// connections to their replicas, by failure domain.
+	Homes map[ShardKey]DomainHomes
+	// HomedUpstreams holds the upstreams whose shards have homes, and whether
+	// this instance is one of them.
+	HomedUpstreams map[string]bool
 	// IsReader is set on the instances that watch the platform for the others.
 	IsReader bool
 	// MembersDigest sums up the membership that is known.
@@ -51,17 +54,9 @@
 	StaleAnswers  int64
 }
 
-// HomesOfUpstreams returns the home of each upstream whose shard has one.
-func (view *View) HomesOfUpstreams() map[string]string {
-	homes := make(map[string]string, len(view.Homes))
-	for key, members := range view.Homes {
-		index := view.Indexes[key.Index]
-		if position, isKnown := index.Positions[key.Shard]; isKnown && len(members) > 0 {
-			homes[index.Shards[position].Upstream.Name] = members[0]
-		}
-	}
-	return homes
-}
+// DomainHomes holds the homes of one shard: for each failure domain that has
+// one, the members there that are asked, in this order.
+type DomainHomes map[string][]string
 
 // ShardKey names one shard of one index.
 type ShardKey struct {
--- a/internal/wire/http/links.go
+++ b/internal/wire/http/links.go
@@ -41,9 +41,8 @@
 // WarmHome opens connections ahead of requests to the replicas whose shard has
 // this instance as its home.
 func (links *Links[L]) WarmHome(current *view.View) {
-	homes := current.HomesOfUpstreams()
 	for _, replica := range current.Replicas {
-		if homes[replica.Upstream.Name] == current.Self.Instance.Name && !replica.Traffic.Leaving.Load() {
+		if current.HomedUpstreams[replica.Upstream.Name] && !replica.Traffic.Leaving.Load() {
 			links.Get(replica, len(current.Members)).Warm()
 		}
 	}
@@ -72,8 +71,9 @@
 }
 
 // homesAtOnce is how many instances may hold a home's share of a replica's
-// connections for a while: the home, its stand-by and the home before it.
-const homesAtOnce = 3
+// connections for a while: in each of two failure domains the home, its
+// stand-by and the home before it.
+const homesAtOnce = 6
 
 // Keep closes the links to replicas that are not in current, and shares the
 // connections of the others among the members, most of them for the homes.
@@ -82,7 +82,6 @@
 	for _, replica := range current.Replicas {
 		kept[keyOf(replica)] = replica
 	}
-	homes := current.HomesOfUpstreams()
 	links.mutex.Lock()
 	defer links.mutex.Unlock()
 	for key, link := range links.links {
@@ -92,11 +91,11 @@
 			link.Close()
 			continue
 		}
-		home, isPlaced := homes[replica.Upstream.Name]
+		isHome, isPlaced := current.HomedUpstreams[replica.Upstream.Name]
 		instances := len(current.Members)
 		if isPlaced {
 			instances = min(instances, homesAtOnce)
 		}
-		link.Share(instances, !isPlaced || home == current.Self.Instance.Name)
+		link.Share(instances, !isPlaced || isHome)
 	}
 }
