state/choice, standin/model: failing replicas are avoided to spare the retry budget

Change: the share counts to the third power. Ruled out: too little capacity, as the worth stayed low when the wave fell.

--- /dev/null
+++ b/internal/standin/model/replica.go
@@ -0,0 +1,231 @@
+// Package model plays merged queries on modelled replicas, through the real
+// query path and its policies, in one process and without a network. All waits
+// use package time, so that a test plays minutes in seconds on a synthetic
+// clock.
+package model
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
+	"github.com/mimosaspring/mimosaspring/internal/wire/http"
+)
+
+// Shape is what the replicas of a deployment have in common.
+type Shape struct {
+	// Slots is how many requests a replica runs at once, Queue how many more
+	// it takes.
+	Slots int
+	Queue int
+	// Spread is the sigma of the log-normal work of a request.
+	Spread float64
+	// PauseFor is for how long a replica stands still once in PauseEvery.
+	PauseFor   time.Duration
+	PauseEvery time.Duration
+	// Near and Far are the ways there and back within a failure domain and to
+	// another.
+	Near time.Duration
+	Far  time.Duration
+}
+
+// Conduct is how a replica behaves during a trouble.
+type Conduct struct {
+	// Sheds is the share of the requests that it refuses at once.
+	Sheds float64
+	// Fails is the share of the requests that it answers with a failure at
+	// once.
+	Fails float64
+	// Slowness is how many times longer its work takes; 0 stands for 1.
+	Slowness float64
+	// IsDark is set where it answers nothing.
+	IsDark bool
+	// IsDown is set where it accepts no connection.
+	IsDown bool
+}
+
+// Trouble changes the conduct of some replicas for a while.
+type Trouble struct {
+	From time.Duration
+	For  time.Duration
+	// Hits selects replicas by the number of their shard and of their copy.
+	Hits func(shard, copyNumber int) bool
+	Conduct
+}
+
+// replica is one modelled replica.
+type replica struct {
+	fleet      *fleet
+	shard      int
+	copyNumber int
+	domain     string
+	// phase is when its first pause begins.
+	phase time.Duration
+	slots chan struct{}
+
+	mutex   sync.Mutex
+	waiting int
+	// arrivals counts the requests that reached it.
+	arrivals int
+}
+
+// conduct returns how the replica behaves now.
+func (replica *replica) conduct() Conduct {
+	now := time.Since(replica.fleet.started)
+	for _, trouble := range replica.fleet.pattern.Troubles {
+		isOn := now >= trouble.From && now < trouble.From+trouble.For
+		if isOn && trouble.Hits(replica.shard, replica.copyNumber) {
+			return trouble.Conduct
+		}
+	}
+	return Conduct{}
+}
+
+// enter counts an arrival and reports whether the queue has room for it.
+func (replica *replica) enter() bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.arrivals++
+	if replica.waiting >= replica.fleet.pattern.Shape.Queue {
+		return false
+	}
+	replica.waiting++
+	return true
+}
+
+func (replica *replica) leaveQueue() {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	replica.waiting--
+}
+
+func (replica *replica) load() int {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return len(replica.slots) + replica.waiting
+}
+
+// serve runs one request of the given mean work.
+func (replica *replica) serve(ctx context.Context, work time.Duration) (api.ReplyStatus, error) {
+	conduct := replica.conduct()
+	draw := rand.Float64()
+	hasRoom := replica.enter()
+	switch {
+	case conduct.IsDark:
+		<-ctx.Done()
+		return "", ctx.Err()
+	case !hasRoom:
+		return api.ReplyShed, nil
+	case draw < conduct.Sheds:
+		replica.leaveQueue()
+		return api.ReplyShed, nil
+	case draw < conduct.Sheds+conduct.Fails:
+		replica.leaveQueue()
+		return api.ReplyFailed, nil
+	}
+	select {
+	case replica.slots <- struct{}{}:
+		replica.leaveQueue()
+	case <-ctx.Done():
+		replica.leaveQueue()
+		return "", ctx.Err()
+	}
+	defer func() { <-replica.slots }()
+	return api.ReplyDone, sleep(ctx, replica.paused(replica.drawWork(work, conduct)))
+}
+
+// drawWork draws how long a request takes.
+func (replica *replica) drawWork(mean time.Duration, conduct Conduct) time.Duration {
+	spread := replica.fleet.pattern.Shape.Spread
+	factor := math.Exp(spread*rand.NormFloat64() - spread*spread/2)
+	if conduct.Slowness > 0 {
+		factor *= conduct.Slowness
+	}
+	return time.Duration(factor * float64(mean))
+}
+
+// paused adds the pauses that fall into work that begins now.
+func (replica *replica) paused(work time.Duration) time.Duration {
+	shape := replica.fleet.pattern.Shape
+	if shape.PauseEvery <= 0 {
+		return work
+	}
+	position := (time.Since(replica.fleet.started) + replica.phase) % shape.PauseEvery
+	if position < shape.PauseFor {
+		work += shape.PauseFor - position
+		position = shape.PauseFor
+	}
+	if position+work > shape.PauseEvery {
+		work += shape.PauseFor
+	}
+	return work
+}
+
+func sleep(ctx context.Context, duration time.Duration) error {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// link carries attempts to a modelled replica.
+type link struct {
+	replica *replica
+	way     time.Duration
+}
+
+// Close does nothing.
+func (link *link) Close() {}
+
+// Share does nothing: the model bounds no connections.
+func (link *link) Share(int, bool) {}
+
+// Warm does nothing.
+func (link *link) Warm() {}
+
+// Checked returns nil.
+func (link *link) Checked() *http.Link { return nil }
+
+// Send runs one attempt.
+func (link *link) Send(ctx context.Context, attempt api.Attempt) (api.Reply, error) {
+	name := attempt.Replica
+	if link.replica.conduct().IsDown {
+		return api.Reply{}, &http.SendError{Step: "connect to", Peer: name, Cause: errors.New("connection refused")}
+	}
+	if err := sleep(ctx, link.way); err != nil {
+		return api.Reply{}, &http.SendError{Step: "connect to", Peer: name, Cause: err}
+	}
+	status, err := link.replica.serve(ctx, kindOf(attempt).Work)
+	if err != nil {
+		return api.Reply{}, &http.SendError{Step: "exchange with", Peer: name, MayHaveRun: true, Cause: err}
+	}
+	return api.Reply{
+		Status:      status,
+		Epoch:       attempt.Epoch,
+		Signature:   name,
+		Load:        link.replica.load(),
+		IsLoadKnown: true,
+	}, nil
+}
+
+// open returns the function that opens the links of the instances of domain.
+func (fleet *fleet) open(domain string) func(*view.Replica, int) *link {
+	return func(known *view.Replica, _ int) *link {
+		replica := fleet.replicas[known.Instance.Name]
+		way := fleet.pattern.Shape.Far
+		if replica.domain == domain {
+			way = fleet.pattern.Shape.Near
+		}
+		return &link{replica: replica, way: way}
+	}
+}
--- a/internal/state/choice/soonest.go
+++ b/internal/state/choice/soonest.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"math"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
@@ -11,6 +12,10 @@
 	// take than a near one before it is preferred less: the bytes that go there
 	// and back are paid for.
 	farCost = 2.2
+	// failureCost is the power to which the share of answered attempts divides
+	// the wait. Another attempt takes little time, but draws on the retry
+	// budget, which is spent first where many replicas fail.
+	failureCost = 3
 	// fullness is how much a replica slows down as its slots fill.
 	fullness = 0.3
 	// stallMultiple and leastStall are from when a replica that answers nothing
@@ -62,5 +67,6 @@
 	if stalled := traffic.Stalled(now); stalled > max(stallMultiple*expected, leastStall) {
 		wait += float64(max(stalled, stallCost))
 	}
-	return wait / max(1-traffic.FailingShare(now), leastSuccess)
+	success := max(1-traffic.FailingShare(now), leastSuccess)
+	return wait / math.Pow(success, failureCost)
 }
