query/upstream: a late instance waits for its homes again

Change: where several homes were asked and none has sent anything, they get as much time again. TestLateInstanceWaits failed before (4 attempts of its own).

--- a/internal/query/upstream/homequery.go
+++ b/internal/query/upstream/homequery.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,12 +65,9 @@
 	if query.TargetLeft > 0 {
 		patience = time.Duration(progressShare*float64(query.TargetLeft)) + patienceMargin
 	}
-	watch := time.AfterFunc(patience, func() {
-		if !homequery.isHeard.Load() {
-			cancel(ErrSilent)
-		}
-	})
-	defer watch.Stop()
+	watch := &patienceWatch[C, H, L, P]{homequery: homequery, cancel: cancel, patience: patience}
+	watch.start()
+	defer watch.stop()
 	pass.unproved.Add(1)
 	homequery.note(trace.Asked, strconv.Itoa(len(query.Shards))+" shards")
 	err := pass.fanout.Placement.Ask(ctx, homequery.group, query, homequery.take)
@@ -93,6 +91,47 @@
 	}
 }
 
+// patienceWatch ends the wait for a home that sends nothing in time. Where no
+// home of the query has sent anything, this instance is taken to be late, and
+// they get as much time again.
+type patienceWatch[C Choice, H Hedge, L Link, P Placement] struct {
+	homequery *homeQuery[C, H, L, P]
+	cancel    context.CancelCauseFunc
+	patience  time.Duration
+
+	mutex sync.Mutex
+	timer *time.Timer
+	// isExtended is set once the home got more time.
+	isExtended bool
+}
+
+func (patiencewatch *patienceWatch[C, H, L, P]) start() {
+	patiencewatch.mutex.Lock()
+	defer patiencewatch.mutex.Unlock()
+	patiencewatch.timer = time.AfterFunc(patiencewatch.patience, patiencewatch.check)
+}
+
+func (patiencewatch *patienceWatch[C, H, L, P]) stop() {
+	patiencewatch.mutex.Lock()
+	defer patiencewatch.mutex.Unlock()
+	patiencewatch.timer.Stop()
+}
+
+func (patiencewatch *patienceWatch[C, H, L, P]) check() {
+	patiencewatch.mutex.Lock()
+	defer patiencewatch.mutex.Unlock()
+	homequery := patiencewatch.homequery
+	switch {
+	case homequery.isHeard.Load():
+	case homequery.pass.isNoHomeHeard() && !patiencewatch.isExtended:
+		patiencewatch.isExtended = true
+		patiencewatch.timer.Reset(patiencewatch.patience)
+		homequery.pass.fanout.Metrics.Add("homes.waitedAgain", 1)
+	default:
+		patiencewatch.cancel(ErrSilent)
+	}
+}
+
 func (homequery *homeQuery[C, H, L, P]) note(kind trace.Kind, detail string) {
 	homequery.pass.request.Trace.Add(kind, "", homequery.group.Peer.Instance.Name, detail)
 }
@@ -160,8 +199,9 @@
 // take passes on what a block settles. A shard whose replicas the home does
 // not know is left for this instance.
 func (homequery *homeQuery[C, H, L, P]) take(block api.CellBlock) {
-	homequery.isHeard.Store(true)
 	pass := homequery.pass
+	homequery.isHeard.Store(true)
+	pass.isHomeHeard.Store(true)
 	if block.IsFinal && !block.MayHaveRun {
 		pass.unproved.Add(-1)
 	}
--- a/internal/query/upstream/homequery_test.go
+++ b/internal/query/upstream/homequery_test.go
@@ -414,3 +414,55 @@
 		}
 	})
 }
+
+// manyHomes gives each shard to a home of its own.
+type manyHomes struct {
+	home func(ctx context.Context, query api.CellQuery, take func(block api.CellBlock)) error
+}
+
+func (manyhomes *manyHomes) Place(request *upstream.Request) ([]view.Shard, []upstream.Group) {
+	var groups []upstream.Group
+	for _, shard := range request.Selection.Shards {
+		groups = append(groups, upstream.Group{Shards: []view.Shard{shard}})
+	}
+	return nil, groups
+}
+
+func (manyhomes *manyHomes) Ask(ctx context.Context, _ upstream.Group, query api.CellQuery, take func(block api.CellBlock)) error {
+	return manyhomes.home(ctx, query, take)
+}
+
+// TestLateInstanceWaits plays an instance that is short of processor time, so
+// that it hears all homes late, and homes of which only some are late. Asking
+// all replicas itself would make a late instance later.
+func TestLateInstanceWaits(t *testing.T) {
+	tests := map[string]struct {
+		// after is when each home's block arrives.
+		after    map[string]time.Duration
+		arrivals int
+	}{
+		"all are heard late":      {after: map[string]time.Duration{"s0": 60, "s1": 60, "s2": 61, "s3": 62}},
+		"one is late":             {after: map[string]time.Duration{"s0": 10, "s1": 10, "s2": 10, "s3": 60}, arrivals: 1},
+		"all are silent for good": {after: map[string]time.Duration{"s0": 2000, "s1": 2000, "s2": 2000, "s3": 2000}, arrivals: 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := &stubFleet{ran: make(map[string][]string), behaviours: make(map[string]behaviour)}
+				placement := &manyHomes{home: func(ctx context.Context, query api.CellQuery, take func(api.CellBlock)) error {
+					select {
+					case <-time.After(test.after[query.Shards[0]] * time.Millisecond):
+						take(blockOf(true, query.Shards...))
+						return nil
+					case <-ctx.Done():
+						return ctx.Err()
+					}
+				}}
+				answer := newFanout(fleet, placement).Run(t.Context(), newRequest(newShards(4, 2)))
+				assert.Equal(t, answer.Outcome, api.OutcomeDone)
+				assert.Equal(t, answer.Coverage.Included, 4)
+				assert.Equal(t, fleet.arrivals, test.arrivals)
+			})
+		})
+	}
+}
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -28,6 +28,10 @@
 	// unproved counts the attempts, and queries to homes, that were sent and
 	// are not proved not to have run.
 	unproved atomic.Int64
+	// homes is how many homes were asked; isHomeHeard is set once one of them
+	// has sent a block.
+	homes       int
+	isHomeHeard atomic.Bool
 	// failed is a replica's own failure of a relayed request.
 	failed *api.Response
 }
@@ -68,6 +72,7 @@
 // at their homes.
 func (pass *pass[C, H, L, P]) launch(ctx context.Context) {
 	local, groups := pass.fanout.Placement.Place(&pass.request)
+	pass.homes = len(groups)
 	for _, group := range groups {
 		query := &homeQuery[C, H, L, P]{pass: pass, ctx: ctx, group: group}
 		go query.run()
@@ -78,6 +83,16 @@
 	}
 }
 
+// homesToJudge is from how many homes on their common silence is laid to this
+// instance: so many do not fail in the same moment.
+const homesToJudge = 3
+
+// isNoHomeHeard reports whether several homes were asked and none has sent
+// anything.
+func (pass *pass[C, H, L, P]) isNoHomeHeard() bool {
+	return pass.homes >= homesToJudge && !pass.isHomeHeard.Load()
+}
+
 // run asks every shard and gathers the parts until all have answered, or the
 // answer is worth more now than with the parts that are missing.
 func (pass *pass[C, H, L, P]) run(ctx context.Context) (api.Answer, newer) {
--- a/internal/standin/model/play.go
+++ b/internal/standin/model/play.go
@@ -131,6 +131,7 @@
 				domain:     domain,
 				phase:      rand.N(max(pattern.Shape.PauseEvery, 1)),
 				slots:      make(chan struct{}, pattern.Shape.Slots),
+				speed:      speedOf(pattern.Shape, shard+copyNumber),
 			}
 		}
 		fleet.shards = append(fleet.shards, known)
@@ -138,6 +139,13 @@
 	return fleet
 }
 
+func speedOf(shape Shape, number int) float64 {
+	if len(shape.Speeds) == 0 {
+		return 1
+	}
+	return shape.Speeds[number%len(shape.Speeds)]
+}
+
 // home is the instance of one failure domain that asks the replicas, and holds
 // what it has seen of them.
 type home[C upstream.Choice, H upstream.Hedge] struct {
--- a/internal/standin/model/replica.go
+++ b/internal/standin/model/replica.go
@@ -29,6 +29,14 @@
 	// PauseFor is for how long a replica stands still once in PauseEvery.
 	PauseFor   time.Duration
 	PauseEvery time.Duration
+	// Speeds holds how many times longer work takes on the replicas, by turns;
+	// empty where all are alike.
+	Speeds []float64
+	// Others on its machine slow a replica NoiseTimes during a share NoiseShare
+	// of the spans of NoiseEvery; its replies tell.
+	NoiseShare float64
+	NoiseTimes float64
+	NoiseEvery time.Duration
 	// Near and Far are the ways there and back within a failure domain and to
 	// another.
 	Near time.Duration
@@ -68,9 +76,14 @@
 	// phase is when its first pause begins.
 	phase time.Duration
 	slots chan struct{}
+	// speed is how many times longer its work takes.
+	speed float64
 
 	mutex   sync.Mutex
 	waiting int
+	// noiseUntil is the end of the present span of noise or of quiet.
+	noiseUntil time.Time
+	noise      float64
 	// arrivals counts the requests that reached it.
 	arrivals int
 }
@@ -140,10 +153,26 @@
 	return api.ReplyDone, sleep(ctx, replica.paused(replica.drawWork(work, conduct)))
 }
 
+// pace returns how many times longer than usual work takes at the moment, as
+// the replica knows it.
+func (replica *replica) pace() float64 {
+	shape := replica.fleet.pattern.Shape
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	if now := time.Now(); now.After(replica.noiseUntil) {
+		replica.noiseUntil = now.Add(shape.NoiseEvery)
+		replica.noise = 1
+		if rand.Float64() < shape.NoiseShare {
+			replica.noise = shape.NoiseTimes
+		}
+	}
+	return replica.noise
+}
+
 // drawWork draws how long a request takes.
 func (replica *replica) drawWork(mean time.Duration, conduct Conduct) time.Duration {
 	spread := replica.fleet.pattern.Shape.Spread
-	factor := math.Exp(spread*rand.NormFloat64() - spread*spread/2)
+	factor := replica.speed * replica.pace() * math.Exp(spread*rand.NormFloat64()-spread*spread/2)
 	if conduct.Slowness > 0 {
 		factor *= conduct.Slowness
 	}
@@ -214,6 +243,7 @@
 		Epoch:       attempt.Epoch,
 		Signature:   name,
 		Load:        link.replica.load(),
+		Pace:        link.replica.pace(),
 		IsLoadKnown: true,
 	}, nil
 }
