--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -24,7 +24,7 @@
 	// gatherTime is the wait after an answer with changes, so that one call
 	// brings those that follow closely. Each call counts against the platform's
 	// rate; a change is due everywhere within seconds.
-	gatherTime   = 100 * time.Millisecond
+	gatherTime   = 300 * time.Millisecond
 	leastBackoff = 100 * time.Millisecond
 	mostBackoff  = time.Second
 	// settleTime is how long after the service's return an entry may be missing
--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -114,24 +114,11 @@
 // this process was paused, so that it acts on fresh news.
 func (relayer *Relayer[C]) choose(ctx context.Context, shard view.Shard, tried map[string]bool) *view.Replica {
 	relayer.Published.Current(ctx)
-	var healthy, failing []*view.Replica
-	now := view.Since()
-	for _, replica := range shard.Replicas {
-		switch {
-		case tried[replica.Instance.Name] || replica.Traffic.Leaving.Load():
-		case replica.Traffic.IsFailing(now):
-			failing = append(failing, replica)
-		default:
-			healthy = append(healthy, replica)
-		}
-	}
-	if len(healthy) > 0 {
-		return relayer.Choice.Choose(healthy)
-	}
-	if len(failing) > 0 {
-		return relayer.Choice.Choose(failing)
+	usable := view.Usable(shard.Replicas, func(name string) bool { return tried[name] })
+	if len(usable) == 0 {
+		return nil
 	}
-	return nil
+	return relayer.Choice.Choose(usable)
 }
 
 // attempt sends command to replica. It reports false where the command is
--- a/internal/query/upstream/fetch.go
+++ b/internal/query/upstream/fetch.go
@@ -255,23 +255,7 @@
 	go attempt.run()
 }
 
-// usable returns the replicas that were not tried and are not leaving. It
-// leaves out those set aside for failures unless there is no other.
+// usable returns the replicas that the next attempt may go to.
 func (fetch *fetch[C, H, L, P]) usable() []*view.Replica {
-	var healthy, failing []*view.Replica
-	now := view.Since()
-	for _, replica := range fetch.shard.Replicas {
-		if replica.Traffic.Leaving.Load() || slices.Contains(fetch.tried, replica.Instance.Name) {
-			continue
-		}
-		if replica.Traffic.IsFailing(now) {
-			failing = append(failing, replica)
-		} else {
-			healthy = append(healthy, replica)
-		}
-	}
-	if len(healthy) == 0 {
-		return failing
-	}
-	return healthy
+	return view.Usable(fetch.shard.Replicas, func(name string) bool { return slices.Contains(fetch.tried, name) })
 }
--- a/internal/state/turn/queue.go
+++ b/internal/state/turn/queue.go
@@ -7,18 +7,15 @@
 	"time"
 )
 
-// shortQueue is up to how many waiting requests the oldest goes first. In a
-// longer queue the oldest would all be served when it is too late for them.
-const shortQueue = 1
-
 // Claim is what a request puts forward for its turn.
 type Claim struct {
 	// Target is when the answer to the request is worth most; zero where there
 	// is no such time.
 	Target time.Time
-	// Rank orders the requests of a long queue. The parts of one query have the
-	// same rank in all queues, so that a query which is served late at one shard
-	// takes no room at the others.
+	// Rank orders the requests, the least first. In the order in which they came
+	// all would be served when it is too late for them. The parts of one query
+	// have the same rank in all queues, so that a query which is served late at
+	// one shard takes no room at the others.
 	Rank uint32
 }
 
@@ -63,22 +60,14 @@
 	if len(queue.waiting) == 0 {
 		return nil
 	}
-	oldest, first, fresh := -1, -1, 0
+	first := -1
 	for index, waiter := range queue.waiting {
-		if waiter.isLate(now) {
-			continue
-		}
-		fresh++
-		if oldest < 0 {
-			oldest = index
-		}
-		if first < 0 || waiter.Claim.Rank < queue.waiting[first].Claim.Rank {
+		isFirst := first < 0 || waiter.Claim.Rank < queue.waiting[first].Claim.Rank
+		if !waiter.isLate(now) && isFirst {
 			first = index
 		}
 	}
-	if fresh <= shortQueue {
-		first = max(oldest, 0)
-	}
+	first = max(first, 0)
 	waiter := queue.waiting[first]
 	queue.waiting = slices.Delete(queue.waiting, first, first+1)
 	return waiter
--- a/internal/state/view/replica.go
+++ b/internal/state/view/replica.go
@@ -250,3 +250,23 @@
 func (traffic *Traffic) IsFailing(now time.Duration) bool {
 	return traffic.FailedUntil.Load() > int64(now)
 }
+
+// Usable returns the replicas that are not leaving and that isTried does not
+// name. It leaves out those set aside for failures unless there is no other.
+func Usable(replicas []*Replica, isTried func(name string) bool) []*Replica {
+	var healthy, failing []*Replica
+	now := Since()
+	for _, replica := range replicas {
+		switch {
+		case replica.Traffic.Leaving.Load() || isTried(replica.Instance.Name):
+		case replica.Traffic.IsFailing(now):
+			failing = append(failing, replica)
+		default:
+			healthy = append(healthy, replica)
+		}
+	}
+	if len(healthy) == 0 {
+		return failing
+	}
+	return healthy
+}
