--- a/internal/command/control/homes.go
+++ b/internal/command/control/homes.go
@@ -172,24 +172,35 @@
 	chosen := rankCandidates(mix(roleHome), members)[:count]
 	total := capacityOf(chosen)
 	taken := make(map[string]int, count)
+	standBys := standBysOf(chosen, members)
 	for _, key := range keys {
 		hash := keyHash(key)
 		home := bestCandidate(hash, chosen, func(candidate candidate) bool {
 			share := math.Ceil(float64(len(keys)) * candidate.weight / total)
 			return taken[candidate.name] < int(share)
 		})
-		standBy := bestCandidate(mix(hash+roleStandBy), members, func(candidate candidate) bool { return candidate.name != home })
 		taken[home]++
 		if homes[key] == nil {
 			homes[key] = make(view.DomainHomes)
 		}
 		homes[key][domain] = []string{home}
-		if standBy != "" {
+		if standBy := standBys[home]; standBy != "" {
 			homes[key][domain] = append(homes[key][domain], standBy)
 		}
 	}
 }
 
+// standBysOf returns the member that is asked while each home is in doubt. It is
+// the same for all shards of a home, so that those who pass the home over send
+// one message in its place and open one connection.
+func standBysOf(homes, members []candidate) map[string]string {
+	standBys := make(map[string]string, len(homes))
+	for _, home := range homes {
+		standBys[home.name] = bestCandidate(mix(home.hash+roleStandBy), members, func(candidate candidate) bool { return candidate.name != home.name })
+	}
+	return standBys
+}
+
 // bestCandidate returns the name of the candidate with the highest score among
 // those that may be taken; "" where there is none.
 func bestCandidate(hash uint64, candidates []candidate, mayTake func(candidate) bool) string {
--- a/internal/command/control/homes_test.go
+++ b/internal/command/control/homes_test.go
@@ -78,6 +78,7 @@
 			shards := newShardsIn(test.shards, test.domains...)
 			homes := Homes(newFleet(test.members), shards, test.width)
 			taken := make(map[string]map[string]int)
+			standBys := make(map[string]bool)
 			for _, domains := range homes {
 				assert.Equal(t, len(domains), len(test.want))
 				for domain, members := range domains {
@@ -86,16 +87,24 @@
 					}
 					taken[domain][members[0]]++
 					assert.Equal(t, len(members), min(2, test.members[domain]))
+					if len(members) > 1 {
+						standBys[members[0]+"/"+members[1]] = true
+					}
 				}
 			}
 			counts := make(map[string]int)
+			count := 0
 			for domain, homes := range taken {
 				counts[domain] = len(homes)
+				if test.members[domain] > 1 {
+					count += len(homes)
+				}
 				for _, count := range homes {
 					assert.Assert(t, count <= test.most, "%v", homes)
 				}
 			}
 			assert.DeepEqual(t, counts, test.want)
+			assert.Equal(t, len(standBys), count, "a home has one stand-by for all its shards: %v", standBys)
 		})
 	}
 }
