--- a/internal/command/control/homes_bench_test.go
+++ b/internal/command/control/homes_bench_test.go
@@ -2,11 +2,23 @@
 
 import "testing"
 
-// BenchmarkHomes measures the assignment for 80 members and 225 shards.
+// BenchmarkHomes measures the assignment of homes in the grown fleets and at
+// the target size.
 func BenchmarkHomes(b *testing.B) {
-	members := newFleet(map[string]int{"a": 24, "b": 29, "c": 27})
-	shards := newShardsIn(225, "a", "b", "c")
-	for b.Loop() {
-		Homes(members, shards, 0)
+	sizes := map[string]struct {
+		members map[string]int
+		shards  int
+	}{
+		"grown":  {members: map[string]int{"a": 24, "b": 29, "c": 27}, shards: 225},
+		"target": {members: map[string]int{"a": 243, "b": 243, "c": 243, "d": 243, "e": 243, "f": 243, "g": 242}, shards: 3_100},
+	}
+	for name, size := range sizes {
+		b.Run(name, func(b *testing.B) {
+			members := newFleet(size.members)
+			shards := newShardsIn(size.shards, "a", "b", "c")
+			for b.Loop() {
+				Homes(members, shards, 0)
+			}
+		})
 	}
 }
