standin/model: pauses and arrivals are drawn from a seed

Change: when replicas pause and when queries arrive follows from the pattern's seed; the bounds are as before.

--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -19,6 +19,7 @@
 // second are 0.7 of it.
 func batinah(troubles ...model.Trouble) model.Pattern {
 	return model.Pattern{
+		Seed: 1,
 		Shape: model.Shape{
 			Slots: 2, Queue: 12, Spread: 0.35,
 			Speeds: []float64{0.8, 1, 1.3}, NoiseShare: 0.15, NoiseTimes: 2.5, NoiseEvery: 600 * time.Millisecond,
