--- a/internal/standin/model/play.go
+++ b/internal/standin/model/play.go
@@ -264,22 +264,14 @@
 		View:      &view.View{},
 		Scope:     api.Scope{Form: api.FormMerged, TopK: 1, MinCoverage: kind.MinCoverage, MaxAttempts: query.play.pattern.MaxAttempts},
 		Selection: view.Selection{Shards: query.home.shards},
-		Relayed:   &api.Relayed{Identity: strconv.FormatUint(rand.Uint64(), 36), Target: kind.Work.String()},
-		Target:    now.Add(kind.Target - targetMargin),
-		Deadline:  now.Add(kind.Deadline),
+		// The path tells the replicas how much work the query is.
+		Relayed:  &api.Relayed{Identity: strconv.FormatUint(rand.Uint64(), 36), Target: kind.Work.String()},
+		Target:   now.Add(kind.Target - targetMargin),
+		Deadline: now.Add(kind.Deadline),
 	})
 	query.play.note(query.second, kind, answer, time.Since(now)+targetMargin)
 }
 
-// workOf returns the work of an attempt, which its query's path tells.
-func workOf(attempt api.Attempt) time.Duration {
-	work, err := time.ParseDuration(attempt.Relayed.Target)
-	if err != nil {
-		return 0
-	}
-	return work
-}
-
 func (play *play[C, H]) note(number int, kind Kind, answer api.Answer, took time.Duration) {
 	play.mutex.Lock()
 	defer play.mutex.Unlock()
--- a/internal/standin/model/replica.go
+++ b/internal/standin/model/replica.go
@@ -272,6 +272,10 @@
 // Send runs one attempt.
 func (link *link) Send(ctx context.Context, attempt api.Attempt) (api.Reply, error) {
 	name := attempt.Replica
+	work, err := time.ParseDuration(attempt.Relayed.Target)
+	if err != nil {
+		return api.Reply{}, &http.SendError{Step: "read the work for", Peer: name, Cause: err}
+	}
 	if link.replica.conduct().IsDown {
 		return api.Reply{}, &http.SendError{Step: "connect to", Peer: name, Cause: errors.New("connection refused")}
 	}
@@ -282,7 +286,7 @@
 	if err := sleep(ctx, link.way); err != nil {
 		return api.Reply{}, &http.SendError{Step: "connect to", Peer: name, Cause: err}
 	}
-	status, err := link.replica.serve(ctx, workOf(attempt))
+	status, err := link.replica.serve(ctx, work)
 	if err != nil {
 		return api.Reply{}, &http.SendError{Step: "exchange with", Peer: name, MayHaveRun: true, Cause: err}
 	}
