--- a/internal/standin/model/play.go
+++ b/internal/standin/model/play.go
@@ -193,7 +193,7 @@
 	}
 	play.run(fleet)
 	for _, replica := range fleet.replicas {
-		play.result.Extra += replica.arrivals
+		play.result.Extra += replica.arrived()
 	}
 	play.result.Extra = max(play.result.Extra-play.result.First, 0)
 	return play.result
--- a/internal/standin/model/replica.go
+++ b/internal/standin/model/replica.go
@@ -113,6 +113,14 @@
 	return true
 }
 
+// arrived returns how many requests reached the replica. Attempts that queries
+// were answered without may still be on their way.
+func (replica *replica) arrived() int {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.arrivals
+}
+
 func (replica *replica) leaveQueue() {
 	replica.mutex.Lock()
 	defer replica.mutex.Unlock()
