query/upstream: the check of a silent connection is made again after a delay

Cause (TestScenarios/silent): a check that woke late took this process for the cause of the silence and ended; the attempt then waited on a dead connection until its deadline. A check that found another one running on the same link ended in the same way. Now either is made again after 10 ms, until the attempt has ended.

The scenario's second finding, a command with an unknown outcome: the signal that silences the connections of the forwarder is handled at some later time, so that under load the command went out on a connection that was alive and fell silent afterwards. No system can know that, and `unknown` was the true outcome. The scenario now waits until the forwarder says that its connections are silent, and for the 10 ms for which received bytes prove a connection to be alive. The assertions are the same: the command is done, and ran once.

--- a/cmd/mimosaspring/process_test.go
+++ b/cmd/mimosaspring/process_test.go
@@ -217,6 +217,29 @@
 	}
 }
 
+// awaitPrinted waits up to TIME until the standard output of a process matches a
+// pattern.
+//
+// Usage: printed TIME PATTERN NAME
+func awaitPrinted(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 3 {
+		ts.Fatalf("usage: printed TIME PATTERN NAME")
+	}
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	pattern := regexp.MustCompile(args[1])
+	process := findProcess(ts, args[2])
+	for start := time.Now(); time.Since(start) < limit; time.Sleep(time.Millisecond) {
+		process.mutex.Lock()
+		isPrinted := pattern.MatchString(process.output.String())
+		process.mutex.Unlock()
+		if isPrinted {
+			return
+		}
+	}
+	ts.Fatalf("%s printed nothing that matches %q within %s", args[2], args[1], limit)
+}
+
 // awaitOutput runs a program again and again until its output matches a pattern. It
 // fails the test if there is no match within TIME.
 //
--- a/cmd/mimosaspring/scenario_test.go
+++ b/cmd/mimosaspring/scenario_test.go
@@ -34,6 +34,7 @@
 			"signal":     signalProcess,
 			"await":      awaitOutput,
 			"join":       waitForExit,
+			"printed":    awaitPrinted,
 			"key":        issueKey,
 			"runs":       checkExecutions,
 			"sleep":      sleep,
--- a/cmd/standin/cmds/forward.go
+++ b/cmd/standin/cmds/forward.go
@@ -30,7 +30,7 @@
 	for {
 		select {
 		case <-blackholeSignals:
-			forwarder.BlackholeConnections()
+			fmt.Fprintf(stdout, "%d connections are silent\n", forwarder.BlackholeConnections())
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -51,10 +51,10 @@
 	pass.sentAttempts.Add(1)
 	pass.possibleRuns.Add(1)
 	start := replicastats.BeginAttempt()
-	stallTimer := attempt.startStallCheck(link, start)
+	stallcheck := attempt.startStallCheck(link, start)
 	reply, err := link.Send(attempt.ctx, attempt.message())
-	if stallTimer != nil {
-		stallTimer.Stop()
+	if stallcheck != nil {
+		stallcheck.stop()
 	}
 	replicastats.EndAttempt()
 	latency := view.MonotonicNow() - start
@@ -65,17 +65,17 @@
 	return attempt.replyResult(reply, latency)
 }
 
-// startStallCheck starts the timer of a stallCheck for the attempt that began at
-// start, a time since view.MonotonicOrigin. It returns nil if the link cannot
-// run a health check on its connection while an attempt is waiting.
-func (attempt *attempt[C, H, L, P]) startStallCheck(link L, start time.Duration) *time.Timer {
+// startStallCheck schedules a stallCheck for the attempt that began at start, a time
+// since view.MonotonicOrigin. It returns nil if the link cannot run a health check
+// on its connection while an attempt is waiting.
+func (attempt *attempt[C, H, L, P]) startStallCheck(link L, start time.Duration) *stallCheck[*http.Link] {
 	checkedLink := link.HealthCheckedLink()
 	if checkedLink == nil {
 		return nil
 	}
-	timeout := stallTimeout(attempt.replica)
-	stallcheck := &stallCheck{ctx: attempt.ctx, link: checkedLink, replica: attempt.replica, start: start, timeout: timeout, stalledReplicas: attempt.shardQuery.stalledReplicas}
-	return time.AfterFunc(timeout, stallcheck.run)
+	stallcheck := &stallCheck[*http.Link]{ctx: attempt.ctx, link: checkedLink, replica: attempt.replica, attemptStart: start, stalledReplicas: attempt.shardQuery.stalledReplicas}
+	stallcheck.schedule(stallTimeout(attempt.replica))
+	return stallcheck
 }
 
 func (attempt *attempt[C, H, L, P]) message() api.Attempt {
--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -65,14 +65,16 @@
 	go toClient.run()
 }
 
-// BlackholeConnections drops all further bytes of the open connections and keeps
-// them open until Close. Connections accepted later are not affected.
-func (forwarder *Forwarder) BlackholeConnections() {
+// BlackholeConnections drops all further bytes of the connections accepted so far
+// and keeps them open until Close. It returns their number. Connections accepted
+// later are not affected.
+func (forwarder *Forwarder) BlackholeConnections() int {
 	forwarder.mutex.Lock()
 	defer forwarder.mutex.Unlock()
 	for connection := range forwarder.connections {
 		connection.isBlackholed.Store(true)
 	}
+	return len(forwarder.connections)
 }
 
 // Close stops the forwarder and closes all connections.
