query/upstream: channels and timers take the room that a query needs

Hypothesis: on a machine with a share of a core, the processor time of a merged query delays the others; a third of the bytes that a query allocated were the buffers of its channels (eight results a shard, sixteen attempt results a shard, each by value) and timers that never ran.

Now results are sent by pointer, with room for one a shard, a sender gives up when its query has ended, and the timers of hedges and retries exist only once they are started.

--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -35,7 +35,15 @@
 	replica    *view.Replica
 }
 
-func (attempt *attempt[C, H, L, P]) run() { attempt.shardQuery.attemptResults <- attempt.send() }
+// run sends the request and passes the result to the shardQuery, unless that has
+// ended, which ends ctx.
+func (attempt *attempt[C, H, L, P]) run() {
+	result := attempt.send()
+	select {
+	case attempt.shardQuery.attemptResults <- &result:
+	case <-attempt.ctx.Done():
+	}
+}
 
 // send sends the request and waits for the reply. It sends nothing if the
 // replica has started to leave since it was chosen. After a pause of this
--- a/internal/query/upstream/homequery.go
+++ b/internal/query/upstream/homequery.go
@@ -218,7 +218,7 @@
 		pass.possibleRuns.Add(-1)
 	}
 	homequery.markSlow(partialanswer.SlowReplicaHashes)
-	result := shardResult{mergedRecords: partialanswer.Records}
+	result := &shardResult{mergedRecords: partialanswer.Records}
 	for index, name := range partialanswer.Shards {
 		shard, isUnsettled := homequery.unsettledShards[name]
 		if !isUnsettled || index >= len(partialanswer.Signatures) {
@@ -232,13 +232,13 @@
 		delete(homequery.unsettledShards, name)
 	}
 	if len(result.mergedParts) > 0 {
-		homequery.deliver(result)
+		pass.deliver(homequery.ctx, result)
 	}
 	for _, missing := range partialanswer.MissingShards {
 		if _, isUnsettled := homequery.unsettledShards[missing.Shard]; isUnsettled && missing.Reason != api.MissingMoved {
 			delete(homequery.unsettledShards, missing.Shard)
 			pass.request.Trace.Add(trace.ShardOmitted, missing.Shard, homequery.group.Peer.Instance.Name, string(missing.Reason))
-			homequery.deliver(shardResult{shard: missing.Shard, reason: missing.Reason})
+			pass.deliver(homequery.ctx, &shardResult{shard: missing.Shard, reason: missing.Reason})
 		}
 	}
 }
@@ -260,11 +260,3 @@
 		}
 	}
 }
-
-// deliver passes a result to the pass unless the query has ended.
-func (homequery *homeQuery[C, H, L, P]) deliver(result shardResult) {
-	select {
-	case homequery.pass.results <- result:
-	case <-homequery.ctx.Done():
-	}
-}
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -13,10 +13,6 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
-// partialAnswersPerHome is the number of partial answers for which the results
-// channel has room per home.
-const partialAnswersPerHome = 8
-
 // pass queries every selected shard once at one snapshot.
 type pass[C Choice, H Hedge, L Link, P Placement] struct {
 	fanout   *Fanout[C, H, L, P]
@@ -29,7 +25,7 @@
 	// mayRestart lets the pass end as soon as a replica reports a newer
 	// snapshot or epoch.
 	mayRestart bool
-	results    chan shardResult
+	results    chan *shardResult
 	// sentAttempts counts the requests sent to replicas by this instance.
 	sentAttempts atomic.Int64
 	// possibleRuns counts the requests to replicas and homes that may have run
@@ -64,7 +60,16 @@
 		request:  request,
 		partSpec: newPartSpec(request.Scope, snapshot, shards),
 		body:     encodeQueryText(request),
-		results:  make(chan shardResult, partialAnswersPerHome*len(shards)),
+		results:  make(chan *shardResult, len(shards)),
+	}
+}
+
+// deliver passes a result to the pass unless ctx, the context of the query, ends
+// before the pass takes it.
+func (pass *pass[C, H, L, P]) deliver(ctx context.Context, result *shardResult) {
+	select {
+	case pass.results <- result:
+	case <-ctx.Done():
 	}
 }
 
@@ -121,7 +126,7 @@
 	pass.start(ctx)
 	collector := NewCollector(pass.partSpec)
 	targetTimer := pass.targetTimer()
-	defer targetTimer.Stop()
+	defer targetTimer.stop()
 	isPastTarget := false
 	for !collector.IsComplete() && !(isPastTarget && pass.hasMinCoverage(collector)) {
 		select {
@@ -130,7 +135,7 @@
 				return api.Answer{}, result.newerVersion
 			}
 			pass.addResult(collector, result)
-		case <-targetTimer.C:
+		case <-targetTimer.channel():
 			isPastTarget = true
 			pass.request.Trace.Add(trace.AnswerIncomplete, "", "", coverageText(collector))
 		case <-ctx.Done():
@@ -146,11 +151,12 @@
 // incomplete answer with the minimum coverage is worth more than a complete one
 // later. The timer never fires for a query without a target time or with a
 // relayed answer, which has only one part.
-func (pass *pass[C, H, L, P]) targetTimer() *time.Timer {
-	if pass.request.TargetTime.IsZero() || pass.request.Scope.Form == api.FormRelayed {
-		return stoppedTimer()
+func (pass *pass[C, H, L, P]) targetTimer() optionalTimer {
+	var timer optionalTimer
+	if !pass.request.TargetTime.IsZero() && pass.request.Scope.Form != api.FormRelayed {
+		timer.start(time.Until(pass.request.TargetTime))
 	}
-	return time.NewTimer(time.Until(pass.request.TargetTime))
+	return timer
 }
 
 func coverageText(collector *Collector) string {
@@ -165,7 +171,7 @@
 
 // addResult adds a result to the collector. A part or partial answer that does
 // not match the pass is counted and dropped.
-func (pass *pass[C, H, L, P]) addResult(collector *Collector, result shardResult) {
+func (pass *pass[C, H, L, P]) addResult(collector *Collector, result *shardResult) {
 	switch {
 	case len(result.mergedParts) > 0:
 		if err := collector.AddPartialAnswer(result.mergedParts, result.mergedRecords); err != nil {
--- a/internal/query/upstream/peerquery.go
+++ b/internal/query/upstream/peerquery.go
@@ -43,8 +43,8 @@
 
 func (peerquery *peerQuery[C, H, L, P]) run(ctx context.Context) error {
 	progressTimer, targetTimer := peerquery.timers()
-	defer progressTimer.Stop()
-	defer targetTimer.Stop()
+	defer progressTimer.stop()
+	defer targetTimer.stop()
 	isPastTarget := false
 	for peerquery.unsettledCount > 0 {
 		var err error
@@ -54,9 +54,9 @@
 			if isPastTarget && peerquery.unsettledCount > 0 {
 				err = peerquery.sendPartialAnswer(false)
 			}
-		case <-progressTimer.C:
+		case <-progressTimer.channel():
 			err = peerquery.sendPartialAnswer(false)
-		case <-targetTimer.C:
+		case <-targetTimer.channel():
 			isPastTarget = true
 			err = peerquery.sendPartialAnswer(false)
 		case <-ctx.Done():
@@ -73,16 +73,20 @@
 // that this instance is alive, and the timer of the target time. Without a target
 // time the first partial answer is sent after half of untargetedHomeTimeout, and
 // the second timer never fires.
-func (peerquery *peerQuery[C, H, L, P]) timers() (*time.Timer, *time.Timer) {
+func (peerquery *peerQuery[C, H, L, P]) timers() (optionalTimer, optionalTimer) {
+	var progressTimer, targetTimer optionalTimer
 	target := peerquery.pass.request.TargetTime
 	if target.IsZero() {
-		return time.NewTimer(untargetedHomeTimeout / 2), stoppedTimer()
+		progressTimer.start(untargetedHomeTimeout / 2)
+		return progressTimer, targetTimer
 	}
 	timeToTarget := time.Until(target)
-	return time.NewTimer(time.Duration(progressShare * float64(timeToTarget))), time.NewTimer(timeToTarget)
+	progressTimer.start(time.Duration(progressShare * float64(timeToTarget)))
+	targetTimer.start(timeToTarget)
+	return progressTimer, targetTimer
 }
 
-func (peerquery *peerQuery[C, H, L, P]) addResult(result shardResult) {
+func (peerquery *peerQuery[C, H, L, P]) addResult(result *shardResult) {
 	peerquery.unsettledCount--
 	if result.reason != "" {
 		peerquery.unsentMissing = append(peerquery.unsentMissing, api.MissingShard{Shard: result.shard, Reason: result.reason})
--- a/internal/query/upstream/shardquery.go
+++ b/internal/query/upstream/shardquery.go
@@ -36,12 +36,12 @@
 	// the shard.
 	isRepeat bool
 
-	attemptResults chan attemptResult
+	attemptResults chan *attemptResult
 	// stalledReplicas receives each replica whose connection stalled and was
 	// replaced, so that the attempt is sent again.
 	stalledReplicas chan *view.Replica
-	retryTimer      *time.Timer
-	hedgeTimer      *time.Timer
+	retryTimer      optionalTimer
+	hedgeTimer      optionalTimer
 	// hedgeDelay is the time after the first attempt at which the hedge is
 	// sent.
 	hedgeDelay time.Duration
@@ -69,7 +69,7 @@
 func (shardquery *shardQuery[C, H, L, P]) run() {
 	ctx, cancel := context.WithCancelCause(shardquery.ctx)
 	defer cancel(api.ErrAnswered)
-	shardquery.attemptResults = make(chan attemptResult, maxAttempts)
+	shardquery.attemptResults = make(chan *attemptResult, 1)
 	shardquery.stalledReplicas = make(chan *view.Replica, maxAttempts)
 	shardquery.lastFailure.reason = api.MissingNoReplica
 	fanout := shardquery.pass.fanout
@@ -79,10 +79,9 @@
 	}
 	fanout.Hedge.CountFirstAttempt()
 	shardquery.startHedgeTimer()
-	defer shardquery.hedgeTimer.Stop()
-	shardquery.retryTimer = stoppedTimer()
-	defer shardquery.retryTimer.Stop()
 	shardquery.loop(ctx)
+	shardquery.hedgeTimer.stop()
+	shardquery.retryTimer.stop()
 }
 
 // startFirst starts the first attempt and reports whether it did. If a home may
@@ -111,11 +110,11 @@
 			isPausing = shardquery.retry(ctx)
 		case replica := <-shardquery.stalledReplicas:
 			shardquery.send(ctx, replica)
-		case <-shardquery.retryTimer.C:
+		case <-shardquery.retryTimer.channel():
 			isPausing = false
 			shardquery.triedReplicas = nil
 			shardquery.startRetry(ctx)
-		case <-shardquery.hedgeTimer.C:
+		case <-shardquery.hedgeTimer.channel():
 			shardquery.startHedge(ctx)
 		case <-ctx.Done():
 			return
@@ -124,18 +123,11 @@
 	shardquery.reportMissing()
 }
 
-// stoppedTimer returns a timer that does not fire until it is reset.
-func stoppedTimer() *time.Timer {
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
-	return timer
-}
-
 // handleResult delivers the part of a successful attempt and reports true. If
 // the attempt failed it records the failure and reports false.
-func (shardquery *shardQuery[C, H, L, P]) handleResult(result attemptResult) bool {
+func (shardquery *shardQuery[C, H, L, P]) handleResult(result *attemptResult) bool {
 	if result.reason == "" {
-		shardquery.pass.results <- shardResult{shard: shardquery.shard.Name, part: result.part}
+		shardquery.pass.deliver(shardquery.ctx, &shardResult{shard: shardquery.shard.Name, part: result.part})
 		return true
 	}
 	if result.isNotRun {
@@ -147,7 +139,7 @@
 	if result.part.Response == nil {
 		result.part = shardquery.lastFailure.part
 	}
-	shardquery.lastFailure = result
+	shardquery.lastFailure = *result
 	return false
 }
 
@@ -155,12 +147,12 @@
 // failure.
 func (shardquery *shardQuery[C, H, L, P]) reportMissing() {
 	shardquery.addTrace(trace.ShardOmitted, "", string(shardquery.lastFailure.reason))
-	result := shardResult{shard: shardquery.shard.Name, reason: shardquery.lastFailure.reason, newerVersion: shardquery.lastFailure.newerVersion}
+	result := &shardResult{shard: shardquery.shard.Name, reason: shardquery.lastFailure.reason, newerVersion: shardquery.lastFailure.newerVersion}
 	if shardquery.pass.request.Scope.Form == api.FormRelayed {
 		// The caller receives the replica's own error response.
 		result.part = shardquery.lastFailure.part
 	}
-	shardquery.pass.results <- result
+	shardquery.pass.deliver(shardquery.ctx, result)
 }
 
 // mayStart reports whether the limits on attempts allow one more.
@@ -182,7 +174,7 @@
 	if shardquery.startRetry(ctx) || shardquery.pendingAttempts > 0 || !(shardquery.lastFailure.reason == api.MissingRefused || shardquery.lastFailure.isUnsent) {
 		return false
 	}
-	shardquery.retryTimer.Reset(min(minRefusalPause<<shardquery.refusalPauses, maxRefusalPause))
+	shardquery.retryTimer.start(min(minRefusalPause<<shardquery.refusalPauses, maxRefusalPause))
 	shardquery.refusalPauses++
 	return true
 }
@@ -233,16 +225,15 @@
 		return
 	}
 	shardquery.isHedgePostponed = true
-	shardquery.hedgeTimer.Reset(shardquery.hedgeDelay)
+	shardquery.hedgeTimer.start(shardquery.hedgeDelay)
 }
 
 // startHedgeTimer starts the hedge timer if the policy asks for a hedge.
 func (shardquery *shardQuery[C, H, L, P]) startHedgeTimer() {
-	shardquery.hedgeTimer = stoppedTimer()
 	delay, isSet := shardquery.pass.fanout.Hedge.Delay(&shardquery.pass.request, shardquery.shard)
 	if isSet {
 		shardquery.hedgeDelay = delay
-		shardquery.hedgeTimer.Reset(delay)
+		shardquery.hedgeTimer.start(delay)
 	}
 }
 
