wire/http: bytes without end and answers without an identity end an exchange

A head was read without a bound of its own, so that a replica could fill the memory of an instance within one deadline; interim responses were skipped for as long as they came. The replies of the platform's stand-in were decoded without a bound.

Now one answer may have a head of 64 KiB, interim responses included, and a body of MaxReplyBytes with 64 KiB for its chunks and trailers. What goes beyond is an error at once: the connection is closed and the replica counts as failing. Clients of net/http get the same bound of the head.

An answer without an identity counted as the one asked for. On a connection that has carried another request it may be the second copy of that one's answer, and a "not run" in it would be said of the wrong request. It is now an error there; on a new connection nothing else can have been asked.

TestRelayLinkAnswers: two cases of answers without an identity, which fail on the old code. Six older cases of it answered the second request without an identity, which the platform's replicas never do; they now name it, and the two new cases hold what was left open.

--- /dev/null
+++ b/internal/wire/http/limitedreader.go
@@ -0,0 +1,29 @@
+package http
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// errTooManyBytes reports that a peer sent more bytes than a limitedReader allows.
+var errTooManyBytes = errors.New("the peer sent too many bytes")
+
+// limitedReader reads at most a number of bytes that can be renewed. Unlike the end
+// that io.LimitedReader reports, going beyond it is an error: the bytes read so far
+// are not a complete message.
+type limitedReader struct {
+	reader io.Reader
+	// remaining is the number of bytes that may still be read.
+	remaining int
+}
+
+// Read reads up to the remaining bytes. It returns errTooManyBytes if none remain.
+func (limitedreader *limitedReader) Read(buffer []byte) (int, error) {
+	if limitedreader.remaining <= 0 {
+		return 0, errTooManyBytes
+	}
+	count, err := limitedreader.reader.Read(buffer[:min(len(buffer), limitedreader.remaining)])
+	limitedreader.remaining -= count
+	return count, err
+}
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -111,7 +111,9 @@
 		MaxIdleConnsPerHost: link.maxConnections,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
-		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		// The default of net/http is 10 MB.
+		MaxResponseHeaderBytes: maxReplyHeadBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 }
 
--- a/internal/wire/http/platform.go
+++ b/internal/wire/http/platform.go
@@ -21,6 +21,8 @@
 	// callTimeout bounds a read, and the time that a watch takes beyond its own
 	// wait.
 	callTimeout = 2 * time.Second
+	// maxListingBytes is the largest list of changed keys that is read.
+	maxListingBytes = 16 << 20
 )
 
 // PlatformError reports a failed call to the configuration service. Cause is nil
@@ -103,7 +105,7 @@
 	}
 	defer response.Body.Close()
 	var listing api.Listing
-	if err := json.NewDecoder(response.Body).Decode(&listing); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListingBytes)).Decode(&listing); err != nil {
 		return listing, &PlatformError{Step: "watch", Peer: platformclient.Address, Cause: err}
 	}
 	return listing, nil
--- a/internal/wire/http/relayconn.go
+++ b/internal/wire/http/relayconn.go
@@ -25,6 +25,12 @@
 	maxInlineWriteBytes = 8 << 10
 	// maxUnrelatedAnswers is how many answers to other requests are skipped.
 	maxUnrelatedAnswers = 3
+	// maxReplyHeadBytes bounds the head of an answer, together with the interim
+	// responses before it.
+	maxReplyHeadBytes = 64 << 10
+	// maxReplyFramingBytes bounds the bytes of a chunked body that frame its chunks,
+	// and the trailers.
+	maxReplyFramingBytes = 64 << 10
 	// lateAnswerWait is how long a connection waits for the answer to an attempt
 	// whose query was answered without it. Most answers arrive within this time,
 	// and opening a new connection costs the replica more.
@@ -44,7 +50,9 @@
 type relayConn struct {
 	conn    *net.TCPConn
 	rawConn syscall.RawConn
-	reader  *bufio.Reader
+	// limit bounds what reader reads for one answer.
+	limit  *limitedReader
+	reader *bufio.Reader
 	// lastAnswer is the time at which the last answer was read. It is zero on a
 	// new connection.
 	lastAnswer time.Time
@@ -64,7 +72,8 @@
 }
 
 func newRelayConn(conn *net.TCPConn) *relayConn {
-	relayconn := &relayConn{conn: conn, reader: bufio.NewReaderSize(conn, relayReadBufferBytes)}
+	limit := &limitedReader{reader: conn}
+	relayconn := &relayConn{conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, relayReadBufferBytes)}
 	rawConn, err := conn.SyscallConn()
 	if err != nil {
 		relayconn.mustClose = true
@@ -172,10 +181,14 @@
 	requestwriter.result <- err
 }
 
+// errNoIdentity reports an answer without an identity on a connection that has
+// already carried another request. It may be the answer to that one.
+var errNoIdentity = errors.New("answer without an identity on a connection in use again")
+
 // readAnswer reads answers until it finds the one to request, and skips up to
 // maxUnrelatedAnswers others. These may be delayed duplicates of answers to earlier
 // requests on the connection. An answer without an identity counts as the one to
-// request.
+// request only if the connection has carried no other.
 func (relayconn *relayConn) readAnswer(request encodedRequest) (*api.Response, error) {
 	for range maxUnrelatedAnswers + 1 {
 		response, err := relayconn.readFinalResponse(request.method)
@@ -183,7 +196,10 @@
 			return nil, err
 		}
 		identity := response.Header[request.identityHeader]
-		if len(identity) == 0 || identity[0] == request.identity {
+		switch {
+		case len(identity) == 0 && !relayconn.lastAnswer.IsZero():
+			return nil, errNoIdentity
+		case len(identity) == 0 || identity[0] == request.identity:
 			return response, nil
 		}
 		relayconn.mustClose = true
@@ -192,8 +208,10 @@
 }
 
 // readFinalResponse reads the next complete response and skips interim responses
-// (1xx), except 101.
+// (1xx), except 101. It returns an error if the response exceeds maxReplyHeadBytes or
+// MaxReplyBytes.
 func (relayconn *relayConn) readFinalResponse(method string) (*api.Response, error) {
+	relayconn.limit.remaining = maxReplyHeadBytes
 	for {
 		response, err := http.ReadResponse(relayconn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -202,6 +220,7 @@
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		relayconn.limit.remaining = MaxReplyBytes + maxReplyFramingBytes
 		body, err := readBody(response)
 		if err != nil {
 			return nil, errors.Wrap(err, "read body of answer")
--- a/internal/wire/http/relaylink_test.go
+++ b/internal/wire/http/relaylink_test.go
@@ -131,15 +131,17 @@
 		},
 		"a success without a signature": {secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Request: b\r\nContent-Length: 2\r\n\r\nok", wantStatus: api.ReplyFailed, wantBody: "ok"},
 		"an encoded body": {
-			secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Signature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+			secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Request: b\r\nMimosa-Signature: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
 			wantStatus:   api.ReplyFailed, wantBody: "ok",
 		},
-		"a refusal":                                  {secondAnswer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", wantStatus: api.ReplyShed},
-		"a failure of the replica":                   {secondAnswer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", wantStatus: api.ReplyFailed},
-		"a replica that is not the requested one":    {secondAnswer: "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n", wantStatus: api.ReplyWrongReplica},
+		"a refusal":                                  {secondAnswer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Request: b\r\nMimosa-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", wantStatus: api.ReplyShed},
+		"a failure of the replica":                   {secondAnswer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Request: b\r\nContent-Length: 0\r\n\r\n", wantStatus: api.ReplyFailed},
+		"a replica that is not the requested one":    {secondAnswer: "HTTP/1.1 421 Misdirected Request\r\nMimosa-Request: b\r\nContent-Length: 0\r\n\r\n", wantStatus: api.ReplyWrongReplica},
 		"an interim response first":                  {secondAnswer: "HTTP/1.1 103 Early Hints\r\n\r\n" + answerFor("b", "records"), wantStatus: api.ReplyDone, wantBody: "records"},
-		"a chunked body":                             {secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", wantStatus: api.ReplyDone, wantBody: "abc"},
-		"a truncated chunked body":                   {secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab", closesConn: true, wantError: true},
+		"a chunked body":                             {secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Request: b\r\nMimosa-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", wantStatus: api.ReplyDone, wantBody: "abc"},
+		"a truncated chunked body":                   {secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Request: b\r\nMimosa-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab", closesConn: true, wantError: true},
+		"a success without an identity":              {secondAnswer: "HTTP/1.1 200 OK\r\nMimosa-Signature: s\r\nContent-Length: 2\r\n\r\nok", wantError: true},
+		"a refusal without an identity":              {secondAnswer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", wantError: true},
 		"a duplicate sent before the second request": {extraAnswer: answerFor("a", "stale"), secondAnswer: answerFor("b", "fresh"), wantStatus: api.ReplyDone, wantBody: "fresh"},
 	}
 	for name, test := range tests {
