state/view, state/choice: the wait in a replica's queue is not part of its latency

Now an observed latency is divided by the factor by which the load at the start of the attempt prolongs it, the same one that the expected delay multiplies by. TestQueueIsCountedOnce: the idle slow replica was chosen before.

--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -33,6 +33,8 @@
 	shardQuery *shardQuery[C, H, L, P]
 	ctx        context.Context
 	replica    *view.Replica
+	// waitFactor is the replica's WaitFactor when the attempt began.
+	waitFactor float64
 }
 
 // run sends the request and passes the result to the shardQuery, unless that has
@@ -58,6 +60,7 @@
 	link := pass.fanout.Links.Get(attempt.replica, len(pass.request.View.Members))
 	pass.sentAttempts.Add(1)
 	pass.possibleRuns.Add(1)
+	attempt.waitFactor = attempt.replica.WaitFactor(view.MonotonicNow())
 	start := replicastats.BeginAttempt()
 	stallcheck := attempt.startStallCheck(link, start)
 	reply, err := link.Send(attempt.ctx, attempt.message())
@@ -125,7 +128,7 @@
 		attempt.shardQuery.pass.possibleRuns.Add(-1)
 	}
 	if attempt.ctx.Err() != nil {
-		replicastats.ObserveCancelled(latency)
+		replicastats.ObserveCancelled(latency, attempt.waitFactor)
 		return attemptResult{reason: api.MissingDeadline, isNotRun: isNotRun}
 	}
 	replicastats.ObserveOutcome(false)
@@ -192,7 +195,7 @@
 		return attemptResult{reason: api.MissingFailed}
 	}
 	attempt.replica.Stats.ConsecutiveFailures.Store(0)
-	attempt.replica.Stats.ObserveLatency(latency)
+	attempt.replica.Stats.ObserveLatency(latency, attempt.waitFactor)
 	return attemptResult{part: part}
 }
 
--- a/internal/query/upstream/policy_test.go
+++ b/internal/query/upstream/policy_test.go
@@ -16,7 +16,7 @@
 func newReplica(name string, latency time.Duration, load int64) *view.Replica {
 	replicastats := &view.ReplicaStats{}
 	for range 50 {
-		replicastats.ObserveLatency(latency)
+		replicastats.ObserveLatency(latency, 1)
 	}
 	replicastats.InFlight.Store(load)
 	return &view.Replica{Instance: api.Instance{Name: name}, Upstream: api.Upstream{Slots: 2}, Stats: replicastats}
--- a/internal/state/choice/choice_test.go
+++ b/internal/state/choice/choice_test.go
@@ -16,7 +16,7 @@
 func newReplica(name string, latency time.Duration, load int64) *view.Replica {
 	stats := &view.ReplicaStats{}
 	for range 50 {
-		stats.ObserveLatency(latency)
+		stats.ObserveLatency(latency, 1)
 	}
 	stats.InFlight.Store(load)
 	return &view.Replica{Instance: api.Instance{Name: name}, Upstream: api.Upstream{Slots: 2}, Stats: stats}
@@ -45,7 +45,7 @@
 // detect that a replica has become slow.
 func TestSlowReplicaIsDetected(t *testing.T) {
 	slow, fast := newReplica("slow", 10*time.Millisecond, 0), newReplica("fast", 10*time.Millisecond, 1)
-	slow.Stats.ObserveCancelled(60 * time.Millisecond)
+	slow.Stats.ObserveCancelled(60*time.Millisecond, 1)
 	chosen := choice.PowerOfTwoChoices{}.Choose([]*view.Replica{slow, fast})
 	assert.Equal(t, chosen.Instance.Name, "fast")
 }
@@ -70,3 +70,19 @@
 	chosen := choice.PowerOfTwoChoices{}.Choose([]*view.Replica{refusing, steady})
 	assert.Equal(t, chosen.Instance.Name, "steady")
 }
+
+// TestQueueIsCountedOnce lets a fast replica answer under load, when each answer takes
+// longer for the wait in its queue. With a shorter queue it must still be chosen over
+// an idle replica that is slower than its answers would be: the wait belongs to the
+// queue and not to the replica.
+func TestQueueIsCountedOnce(t *testing.T) {
+	const base = 10 * time.Millisecond
+	fast, slow := newReplica("fast", base, 8), newReplica("slow", 4*base, 0)
+	waitFactor := fast.WaitFactor(view.MonotonicNow())
+	for range 50 {
+		fast.Stats.ObserveLatency(time.Duration(waitFactor*float64(base)), waitFactor)
+	}
+	fast.Stats.InFlight.Store(4)
+	chosen := choice.ShortestExpectedDelay{}.Choose([]*view.Replica{slow, fast})
+	assert.Equal(t, chosen.Instance.Name, "fast")
+}
--- a/internal/state/choice/shortestexpecteddelay.go
+++ b/internal/state/choice/shortestexpecteddelay.go
@@ -16,9 +16,6 @@
 	// the estimate is divided by it. A further attempt takes little time but
 	// uses the retry budget, which is exhausted first when many replicas fail.
 	failureExponent = 3
-	// occupiedSlowdown is the share by which a replica is slower when all of its
-	// slots are occupied than when it is idle.
-	occupiedSlowdown = 0.3
 	// A replica counts as stalled when it has answered nothing for
 	// expectedDelayStallFactor times its expected latency and for at least
 	// minStall.
@@ -61,9 +58,7 @@
 	if now < time.Duration(stats.ColdUntil.Load()) {
 		delay *= coldFactor
 	}
-	slots := float64(max(replica.Upstream.Slots, 1))
-	load := stats.EstimatedLoad(now)
-	delay *= 1 + occupiedSlowdown*min(load/slots, 1) + max(load+1-slots, 0)/slots
+	delay *= replica.WaitFactor(now)
 	if replica.Instance.FailureDomain != shortestexpecteddelay.FailureDomain {
 		delay *= remoteDomainCost
 	}
--- a/internal/state/view/replica.go
+++ b/internal/state/view/replica.go
@@ -48,8 +48,9 @@
 	// api.Reply.Slowdown), in thousandths; 0 if the report did not state it.
 	Slowdown atomic.Int64
 	// BaseLatency is a moving average of the latency of answered attempts, divided
-	// by the slowdown at the time, in nanoseconds. Single slow attempts have
-	// little influence on it.
+	// by the slowdown at the time and by the factor by which waiting for a slot
+	// prolonged them, in nanoseconds. Single slow attempts have little influence on
+	// it.
 	BaseLatency atomic.Int64
 	// ReportedAt is when ReportedLoad and Slowdown were last updated.
 	ReportedAt atomic.Int64
@@ -147,8 +148,10 @@
 // ObserveLatency updates the moving averages with the latency of one answered
 // attempt. If two goroutines call it at the same time, one of the observations
 // may be lost.
-func (replicastats *ReplicaStats) ObserveLatency(latency time.Duration) {
-	replicastats.ObserveBaseLatency(latency)
+//
+// waitFactor is the replica's WaitFactor when the attempt began.
+func (replicastats *ReplicaStats) ObserveLatency(latency time.Duration, waitFactor float64) {
+	replicastats.observeBaseLatency(time.Duration(float64(latency) / waitFactor))
 	replicastats.AnsweredAt.Store(int64(MonotonicNow()))
 	peak := replicastats.PeakLatency.Load()
 	if int64(latency) >= peak {
@@ -206,9 +209,9 @@
 	return float64(slowdown) / slowdownUnit
 }
 
-// ObserveBaseLatency updates BaseLatency with the latency of one answered
-// attempt.
-func (replicastats *ReplicaStats) ObserveBaseLatency(latency time.Duration) {
+// observeBaseLatency updates BaseLatency with the latency of one answered attempt
+// without the time that it waited for a slot.
+func (replicastats *ReplicaStats) observeBaseLatency(latency time.Duration) {
 	observed := int64(float64(latency) / replicastats.SlowdownAt(MonotonicNow()))
 	base := replicastats.BaseLatency.Load()
 	if base == 0 {
@@ -231,9 +234,9 @@
 // ObserveCancelled updates the moving averages with an attempt that was cancelled
 // without an answer after the given time. This time is a lower bound of the
 // attempt's latency, so it counts only if it exceeds the average.
-func (replicastats *ReplicaStats) ObserveCancelled(after time.Duration) {
+func (replicastats *ReplicaStats) ObserveCancelled(after time.Duration, waitFactor float64) {
 	if int64(after) > replicastats.Latency.Load() {
-		replicastats.ObserveLatency(after)
+		replicastats.ObserveLatency(after, waitFactor)
 	}
 }
 
@@ -251,6 +254,18 @@
 	return own + others*math.Exp2(-age/halfLife)
 }
 
+// occupiedSlowdown is the share by which a replica is slower when all of its slots
+// are occupied than when it is idle.
+const occupiedSlowdown = 0.3
+
+// WaitFactor returns the factor by which the requests that the replica runs and
+// queues prolong another one, relative to its latency on an idle replica.
+func (replica *Replica) WaitFactor(now time.Duration) float64 {
+	slots := float64(max(replica.Upstream.Slots, 1))
+	load := replica.Stats.EstimatedLoad(now)
+	return 1 + occupiedSlowdown*min(load/slots, 1) + max(load+1-slots, 0)/slots
+}
+
 // reportMaxAge is how long RecentLoad uses a report.
 const reportMaxAge = time.Second
 
