wire/http: a home opens no more connections to a replica than it has slots

Changed: two connections fewer a link, and 300 ms in place of 100 for an answer that is no longer needed.

--- a/internal/wire/http/relayconn.go
+++ b/internal/wire/http/relayconn.go
@@ -32,9 +32,10 @@
 	// and the trailers.
 	maxReplyFramingBytes = 64 << 10
 	// lateAnswerWait is how long a connection waits for the answer to an attempt
-	// whose query was answered without it. Most answers arrive within this time,
-	// and opening a new connection costs the replica more.
-	lateAnswerWait = 100 * time.Millisecond
+	// whose query was answered without it. It is longer than a pause of the replica's
+	// process, after which the answer arrives. Opening a new connection costs the
+	// replica more than an answer that nobody needs.
+	lateAnswerWait = 300 * time.Millisecond
 )
 
 // encodedRequest is a request in the form in which it is sent to a replica.
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -24,10 +24,6 @@
 	// free for instances that join or restart: one in relayReserveDivisor
 	// connections.
 	relayReserveDivisor = 12
-	// relayConnectionsBeyondSlots is the maximum number of connections that a link
-	// opens in addition to the replica's slots. Requests on further connections
-	// would only wait at the replica instead of here.
-	relayConnectionsBeyondSlots = 2
 	// relayCommandReuse is how long after its last answer a connection may carry a
 	// command. A command is not idempotent and needs a connection that has
 	// recently worked.
@@ -75,7 +71,9 @@
 }
 
 // LimitConnections limits the number of open connections. A home gets its share of
-// the replica's connections, but no more than the replica's slots can use. An
+// the replica's connections, but no more than the replica has slots: requests on
+// further connections would wait at the replica, in the order of their arrival,
+// instead of here, where they wait in the order of their priority. An
 // instance that is not a home, or does not know yet whether it is one, gets a
 // single connection; otherwise instances that start at the same time would take
 // each replica's connections from one another.
@@ -87,7 +85,7 @@
 		return
 	}
 	share := connectionShare(relaylink.upstream, instances, relayReserveDivisor)
-	relaylink.maxConnections = min(share, max(relaylink.upstream.Slots, 1)+relayConnectionsBeyondSlots)
+	relaylink.maxConnections = min(share, max(relaylink.upstream.Slots, 1))
 }
 
 // HealthCheckedLink returns nil: a connection carries one request at a time, so no
