query/caller: queries that their replicas would serve last are refused under overload

Hypothesis: attempts wait by rank, so that under overload the queries of the highest ranks are late, after having used their replicas. Refused at once, they leave room, and their callers can return in time.

RankAdmission lowers a limit of the rank while admitted queries are late, and raises it while they are not. It counts the late ones of the lower and of the higher ranks apart: where the ranks that are served first are late too, for example because a shard is lost, refusals would not help, and there are none. A refused caller is told to return after a random sixth to third of its time; a returning caller is admitted.

--- a/internal/process/instance/policies.go
+++ b/internal/process/instance/policies.go
@@ -69,7 +69,7 @@
 func newDefaultQueries[P upstream.Placement](instance *Instance, placement P) queries {
 	relayChoice := choice.ShortestExpectedDelay{FailureDomain: instance.settings.FailureDomain}
 	nativeQueries := newNativeQueries(instance, choice.PowerOfTwoChoices{}, upstream.NewPercentileHedge(), caller.NewRateLimitedAdmission())
-	return newRelayQueries(instance, nativeQueries, relayChoice, upstream.TargetHedge{}, caller.AdmitAll{}, placement)
+	return newRelayQueries(instance, nativeQueries, relayChoice, upstream.TargetHedge{}, caller.NewRankAdmission(), placement)
 }
 
 // newBaselineQueries builds the query handlers with the same policies for the
--- a/internal/query/caller/admission.go
+++ b/internal/query/caller/admission.go
@@ -11,6 +11,8 @@
 type Admission interface {
 	// Admit returns nil if the query is admitted, and the refusal otherwise.
 	Admit(request AdmissionRequest) *Refusal
+	// Observe records whether the answer to an admitted query was late.
+	Observe(request AdmissionRequest, isLate bool)
 }
 
 // AdmissionRequest describes the query that is to be admitted.
@@ -18,6 +20,15 @@
 	Scope     api.Scope
 	Selection view.Selection
 	Deadline  time.Time
+	// TargetTime is the time by which the answer should be ready; zero if the scope
+	// has no target latency.
+	TargetTime time.Time
+	// Rank orders the query among those that wait for the same replica, as in
+	// upstream.Rank.
+	Rank uint32
+	// IsReturning is set if the caller has spent so much of its time that it
+	// probably returns after a refusal.
+	IsReturning bool
 }
 
 // Refusal states why a query was not admitted.
@@ -33,3 +44,6 @@
 
 // Admit returns nil.
 func (AdmitAll) Admit(AdmissionRequest) *Refusal { return nil }
+
+// Observe does nothing.
+func (AdmitAll) Observe(AdmissionRequest, bool) {}
--- a/internal/query/caller/ratelimited.go
+++ b/internal/query/caller/ratelimited.go
@@ -81,6 +81,9 @@
 	return &Refusal{Reason: "the replicas of scope " + request.Scope.Name + " are at their load", RetryAfter: scopeLimiter.retryAfter()}
 }
 
+// Observe does nothing: the rate limits follow from the replicas' load.
+func (*RateLimitedAdmission) Observe(AdmissionRequest, bool) {}
+
 // targetUtilization returns the target utilization of a priority, given the
 // priorities that are active at now. The caller holds mutex.
 func (ratelimitedadmission *RateLimitedAdmission) targetUtilization(priority int, now time.Duration) float64 {
--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -83,14 +83,27 @@
 	if targetLatency <= 0 {
 		return time.Time{}
 	}
-	spent := scope.Timeout.Duration - call.RelayedRequest.Deadline
-	isSpentKnown := call.RelayedRequest.Deadline > 0 && spent >= 0 && float64(spent) <= maxSpentShare*float64(targetLatency)
-	if isSpentKnown && call.RoundTrip > 0 {
+	spent, isSpentKnown := timeSpent(call)
+	if isSpentKnown && !isReturning(call) && call.RoundTrip > 0 {
 		margin = spent + call.RoundTrip + sendTime
 	}
 	return call.Start.Add(max(targetLatency-margin, targetLatency/minTargetDivisor))
 }
 
+// timeSpent returns how much of the scope's timeout the caller had spent when it sent
+// its request, and whether its deadline tells.
+func timeSpent(call view.Call) (time.Duration, bool) {
+	spent := call.Scope.Scope.Timeout.Duration - call.RelayedRequest.Deadline
+	return spent, call.RelayedRequest.Deadline > 0 && spent >= 0
+}
+
+// isReturning reports whether the caller has spent more than it plausibly needs
+// before it sends its first request.
+func isReturning(call view.Call) bool {
+	spent, isSpentKnown := timeSpent(call)
+	return isSpentKnown && float64(spent) > maxSpentShare*float64(call.Scope.Scope.TargetLatency.Duration)
+}
+
 // Serve answers an idempotent call, or refuses it if it is not admitted.
 func (relay *Relay[A]) Serve(ctx context.Context, call view.Call) api.Answer {
 	request := upstream.Request{
@@ -104,16 +117,27 @@
 		Trace:          call.Trace,
 		InstanceLag:    relay.lag.get(),
 	}
+	admissionrequest := AdmissionRequest{
+		Scope:       request.Scope,
+		Selection:   request.Selection,
+		Deadline:    call.Deadline,
+		TargetTime:  request.TargetTime,
+		Rank:        upstream.Rank(call.RelayedRequest),
+		IsReturning: isReturning(call),
+	}
 	if !request.TargetTime.IsZero() {
 		request.TargetTime = request.TargetTime.Add(-request.InstanceLag)
 	}
-	admissionrequest := AdmissionRequest{Scope: request.Scope, Selection: request.Selection, Deadline: call.Deadline}
 	if refusal := relay.Admission.Admit(admissionrequest); refusal != nil {
 		relay.Metrics.Add("queries.refused."+request.Scope.Class, 1)
 		call.Trace.Add(trace.RequestRefused, "", "", refusal.Reason)
 		return api.Answer{Outcome: api.OutcomeNotRun, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter, IsProvenNotRun: true}
 	}
 	answer := relay.Run(ctx, request)
+	if ctx.Err() == nil {
+		isLate := time.Since(admissionrequest.TargetTime) > sendTime || answer.Outcome != api.OutcomeDone
+		relay.Admission.Observe(admissionrequest, isLate)
+	}
 	isIncomplete := answer.Outcome == api.OutcomeDone && answer.Coverage.IncludedCount < answer.Coverage.SelectedCount
 	if delay := time.Since(request.TargetTime); isIncomplete && !request.TargetTime.IsZero() && delay >= 0 {
 		relay.lag.observe(delay)
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -55,7 +55,7 @@
 func (fanout *Fanout[C, H, L, P]) newPass(request Request, snapshot uint64) *pass[C, H, L, P] {
 	shards := request.Selection.Shards
 	return &pass[C, H, L, P]{
-		rank:     requestRank(request),
+		rank:     Rank(request.RelayedRequest),
 		fanout:   fanout,
 		request:  request,
 		partSpec: newPartSpec(request.Scope, snapshot, shards),
@@ -73,13 +73,14 @@
 	}
 }
 
-// requestRank derives the rank from the identity of the relayed request, so
-// that all homes that take part in a query use the same rank.
-func requestRank(request Request) uint32 {
-	if request.RelayedRequest == nil {
+// Rank returns the rank of the attempts of a query: 0 if it is not relayed, and
+// otherwise derived from the request's identity, so that all homes that take part in
+// a query use the same rank. The lowest rank is served first.
+func Rank(relayedRequest *api.RelayedRequest) uint32 {
+	if relayedRequest == nil {
 		return 0
 	}
-	return uint32(xxhash.Sum64String(request.RelayedRequest.Identity))
+	return uint32(xxhash.Sum64String(relayedRequest.Identity))
 }
 
 func newPartSpec(scope api.Scope, snapshot uint64, shards []view.Shard) PartSpec {
--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mimosaspring/mimosaspring/internal/query/caller"
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/standin/model"
 	"github.com/mimosaspring/mimosaspring/internal/state/budget"
@@ -49,6 +50,29 @@
 	return scenario
 }
 
+// khangai returns a scenario on the deployment of Khangai Cabinet Coatings at a
+// constant rate: 30 shards with a replica in each of two failure domains. All parts of
+// a query are about as much work.
+func khangai(faults ...model.Fault) model.Scenario {
+	return model.Scenario{
+		Seed: 1,
+		ReplicaConfig: model.ReplicaConfig{
+			Slots: 2, QueueLimit: 12, WorkSigma: 0.05,
+			WorkFactors: []float64{0.8, 1, 1.3}, NoiseShare: 0.15, NoiseFactor: 2.5, NoiseInterval: 600 * time.Millisecond,
+			PauseDuration: 150 * time.Millisecond, PauseInterval: 3600 * time.Millisecond,
+			LocalRoundTrip: 200 * time.Microsecond, RemoteRoundTrip: time.Millisecond,
+		},
+		Kinds: []model.Kind{
+			{Name: "sweep", Weight: 3, MeanWork: 15 * time.Millisecond, WorkSigma: 0.35, TargetLatency: 120 * time.Millisecond, Deadline: 2 * time.Second, Value: 2, LateValueShare: 0.1, MinCoverage: 0.89},
+			{Name: "check", Weight: 1, MeanWork: 5 * time.Millisecond, WorkSigma: 0.35, TargetLatency: 60 * time.Millisecond, Deadline: time.Second, Value: 1, LateValueShare: 0.1, MinCoverage: 0.75},
+		},
+		ShardCount: 30, FailureDomains: []string{"a", "b"},
+		Rate: 97, Duration: 11 * time.Second,
+		BudgetLimits: budget.Limits{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, InstanceCount: 6, MaxAttempts: 2,
+		Faults: faults,
+	}
+}
+
 // shareOfReplicas selects about the given share of all replicas. The selection
 // is the same in every run.
 func shareOfReplicas(share float64) func(shardNumber, replicaNumber int) bool {
@@ -84,6 +108,12 @@
 // that meets the pause of a single replica misses one part.
 const singleReplicaRatio = 0.976
 
+// khangaiSingleReplicaRatio is the value ratio that remains possible while 10 of 30
+// shards of khangai have one replica each: each pauses 0.042 of the time, so that an
+// answer lacks 0.42 parts in the mean. Without pauses the replica could run 121
+// queries a second, with 15.8 ms for each of the 2 slots; the rate is 0.8 of that.
+const khangaiSingleReplicaRatio = 0.972
+
 // overCapacityRatio is the share of the queries that the replicas can run at a
 // mean of 270 queries a second, 418 at the peak. A shard has 4 slots and needs
 // 11.6 ms a query with the noise and the work factors; pauses take 0.04 of the
@@ -132,6 +162,10 @@
 			newScenario: batinah, possibleRatio: singleReplicaRatio,
 			faults: []model.Fault{newFault(replicasOfFirstShards(7, 1), model.Behavior{IsDown: true})},
 		},
+		"one replica of a third of shards slow, the others at 0.8": {
+			newScenario: khangai, possibleRatio: khangaiSingleReplicaRatio,
+			faults: []model.Fault{newFault(replicasOfFirstShards(10, 1), model.Behavior{SlowdownFactor: 8, ReportsSlowdown: true})},
+		},
 		"all replicas of one shard are unresponsive": {
 			newScenario: batinah, possibleRatio: 0.95 * 0.95,
 			faults: []model.Fault{newFault(replicasOfFirstShards(1, 2), model.Behavior{IsUnresponsive: true})},
@@ -161,10 +195,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				newChoice := func(failureDomain string) choice.ShortestExpectedDelay {
-					return choice.ShortestExpectedDelay{FailureDomain: failureDomain}
-				}
-				result := model.Simulate(test.newScenario(test.faults...), newChoice, upstream.TargetHedge{})
+				result := model.Simulate(test.newScenario(test.faults...), newChoice, upstream.TargetHedge{}, caller.NewRankAdmission)
 				ratio := result.ValueRatio(3, 10)
 				t.Logf("value ratio %.3f of %.3f during the faults\n%s", ratio, test.possibleRatio, result.Plot())
 				assert.Assert(t, ratio >= 0.9*test.possibleRatio, "value ratio %.3f of %.3f", ratio, test.possibleRatio)
@@ -172,3 +203,26 @@
 		})
 	}
 }
+
+// newChoice returns the replica choice policy for the home of a failure domain.
+func newChoice(failureDomain string) choice.ShortestExpectedDelay {
+	return choice.ShortestExpectedDelay{FailureDomain: failureDomain}
+}
+
+// TestOverloadIsRefused simulates more queries than the replicas can run. Without an
+// admission, all compete for the replicas and many are answered late. Refusals must
+// leave more value, although a refused query has none.
+func TestOverloadIsRefused(t *testing.T) {
+	scenario := khangai()
+	scenario.Rate = 280
+	var admitted, refused float64
+	synctest.Test(t, func(t *testing.T) {
+		newAdmission := func() caller.AdmitAll { return caller.AdmitAll{} }
+		admitted = model.Simulate(scenario, newChoice, upstream.TargetHedge{}, newAdmission).ValueRatio(3, 10)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		refused = model.Simulate(scenario, newChoice, upstream.TargetHedge{}, caller.NewRankAdmission).ValueRatio(3, 10)
+	})
+	t.Logf("value ratio %.3f with refusals, %.3f without", refused, admitted)
+	assert.Assert(t, refused > admitted, "value ratio %.3f with refusals, %.3f without", refused, admitted)
+}
--- a/internal/standin/model/simulation.go
+++ b/internal/standin/model/simulation.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/mimosaspring/mimosaspring/internal/query/caller"
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/budget"
@@ -27,6 +28,9 @@
 	Weight float64
 	// MeanWork is the mean time that a replica works on its part of a query.
 	MeanWork time.Duration
+	// WorkSigma is the sigma of a log-normal factor of the work that all parts of a
+	// query share.
+	WorkSigma float64
 	// TargetLatency and Deadline are measured from the start of a query. An
 	// answer within TargetLatency has its full value, a later one the share
 	// LateValueShare of it. At Deadline the query ends.
@@ -39,6 +43,12 @@
 	MinCoverage    float64
 }
 
+// drawWork draws the mean work of the parts of one query.
+func (kind Kind) drawWork() time.Duration {
+	factor := math.Exp(kind.WorkSigma*rand.NormFloat64() - kind.WorkSigma*kind.WorkSigma/2)
+	return time.Duration(factor * float64(kind.MeanWork))
+}
+
 // Scenario describes a load on a deployment and the faults that happen meanwhile.
 type Scenario struct {
 	// Seed determines the arrival times, kinds and homes of the queries and the
@@ -164,15 +174,16 @@
 
 // home is the instance of one failure domain that sends requests to the replicas.
 // Each home has its own statistics of the replicas.
-type home[C upstream.Choice, H upstream.Hedge] struct {
-	fanout *upstream.Fanout[C, H, *link, upstream.DirectPlacement]
-	shards []view.Shard
+type home[C upstream.Choice, H upstream.Hedge, A caller.Admission] struct {
+	admission A
+	fanout    *upstream.Fanout[C, H, *link, upstream.DirectPlacement]
+	shards    []view.Shard
 }
 
-func newHome[C upstream.Choice, H upstream.Hedge](fleet *fleet, failureDomain string, choice C, hedge H) *home[C, H] {
+func newHome[C upstream.Choice, H upstream.Hedge, A caller.Admission](fleet *fleet, failureDomain string, choice C, hedge H, admission A) *home[C, H, A] {
 	elapsed := func() time.Duration { return time.Since(fleet.startTime) }
 	instanceCount := func() int { return fleet.scenario.InstanceCount }
-	home := &home[C, H]{fanout: &upstream.Fanout[C, H, *link, upstream.DirectPlacement]{
+	home := &home[C, H, A]{admission: admission, fanout: &upstream.Fanout[C, H, *link, upstream.DirectPlacement]{
 		Choice:      choice,
 		Hedge:       hedge,
 		Links:       &http.Links[*link]{Open: fleet.linkOpener(failureDomain)},
@@ -193,15 +204,16 @@
 }
 
 // Simulate runs scenario with one home in each failure domain. newChoice returns
-// the replica choice policy for the home of a failure domain. Simulate sets
+// the replica choice policy for the home of a failure domain, newAdmission the
+// admission of each. Simulate sets
 // view.MonotonicOrigin, which all simulations of a process share: one must end
 // before the next begins.
-func Simulate[C upstream.Choice, H upstream.Hedge](scenario Scenario, newChoice func(failureDomain string) C, hedge H) *Result {
+func Simulate[C upstream.Choice, H upstream.Hedge, A caller.Admission](scenario Scenario, newChoice func(failureDomain string) C, hedge H, newAdmission func() A) *Result {
 	view.MonotonicOrigin = time.Now().Add(-time.Hour)
 	fleet := newFleet(scenario)
-	simulation := &simulation[C, H]{scenario: scenario, result: &Result{Seconds: make([]Second, int(scenario.Duration/time.Second))}}
+	simulation := &simulation[C, H, A]{scenario: scenario, result: &Result{Seconds: make([]Second, int(scenario.Duration/time.Second))}}
 	for _, failureDomain := range scenario.FailureDomains {
-		simulation.homes = append(simulation.homes, newHome(fleet, failureDomain, newChoice(failureDomain), hedge))
+		simulation.homes = append(simulation.homes, newHome(fleet, failureDomain, newChoice(failureDomain), hedge, newAdmission()))
 	}
 	simulation.run(fleet)
 	for _, replica := range fleet.replicas {
@@ -212,9 +224,9 @@
 }
 
 // simulation is one run of a scenario.
-type simulation[C upstream.Choice, H upstream.Hedge] struct {
+type simulation[C upstream.Choice, H upstream.Hedge, A caller.Admission] struct {
 	scenario Scenario
-	homes    []*home[C, H]
+	homes    []*home[C, H, A]
 	queries  sync.WaitGroup
 
 	// mutex guards result while queries run.
@@ -224,7 +236,7 @@
 
 // run sends queries in an open loop, in which arrivals do not wait for answers,
 // and returns when all queries have ended.
-func (simulation *simulation[C, H]) run(fleet *fleet) {
+func (simulation *simulation[C, H, A]) run(fleet *fleet) {
 	for {
 		now := time.Since(fleet.startTime)
 		rate := simulation.scenario.Rate
@@ -239,14 +251,14 @@
 		home := simulation.homes[fleet.random.IntN(len(simulation.homes))]
 		home.fanout.CurrentView.Tick()
 		simulation.queries.Add(1)
-		query := &query[C, H]{simulation: simulation, home: home, kind: simulation.drawKind(fleet.random), secondIndex: int(now / time.Second)}
+		query := &query[C, H, A]{simulation: simulation, home: home, kind: simulation.drawKind(fleet.random), secondIndex: int(now / time.Second)}
 		go query.run()
 	}
 	simulation.queries.Wait()
 }
 
 // drawKind draws a kind by weight.
-func (simulation *simulation[C, H]) drawKind(random *rand.Rand) Kind {
+func (simulation *simulation[C, H, A]) drawKind(random *rand.Rand) Kind {
 	total := 0.0
 	for _, kind := range simulation.scenario.Kinds {
 		total += kind.Weight
@@ -261,9 +273,9 @@
 }
 
 // query is one query of a simulation.
-type query[C upstream.Choice, H upstream.Hedge] struct {
-	simulation *simulation[C, H]
-	home       *home[C, H]
+type query[C upstream.Choice, H upstream.Hedge, A caller.Admission] struct {
+	simulation *simulation[C, H, A]
+	home       *home[C, H, A]
 	kind       Kind
 	// secondIndex is the index in Result.Seconds of the second in which the query
 	// is sent.
@@ -274,25 +286,33 @@
 // the home takes.
 const targetMargin = 8 * time.Millisecond
 
-func (query *query[C, H]) run() {
+func (query *query[C, H, A]) run() {
 	defer query.simulation.queries.Done()
 	now := time.Now()
 	kind := query.kind
-	answer := query.home.fanout.Run(context.Background(), upstream.Request{
+	request := upstream.Request{
 		View:      &view.View{},
 		Scope:     api.Scope{Form: api.FormMerged, TopK: 1, MinCoverage: kind.MinCoverage, MaxAttempts: query.simulation.scenario.MaxAttempts},
 		Selection: view.Selection{Shards: query.home.shards},
 		// The request target tells the replicas how much work the query is.
-		RelayedRequest: &api.RelayedRequest{Identity: strconv.FormatUint(rand.Uint64(), 36), RequestTarget: kind.MeanWork.String()},
+		RelayedRequest: &api.RelayedRequest{Identity: strconv.FormatUint(rand.Uint64(), 36), RequestTarget: kind.drawWork().String()},
 		TargetTime:     now.Add(kind.TargetLatency - targetMargin),
 		Deadline:       now.Add(kind.Deadline),
-	})
-	query.simulation.record(query.secondIndex, kind, answer, time.Since(now)+targetMargin)
+	}
+	admissionrequest := caller.AdmissionRequest{Scope: request.Scope, Deadline: request.Deadline, TargetTime: request.TargetTime, Rank: upstream.Rank(request.RelayedRequest)}
+	if refusal := query.home.admission.Admit(admissionrequest); refusal != nil {
+		query.simulation.record(query.secondIndex, kind, api.Answer{Outcome: api.OutcomeNotRun}, 0)
+		return
+	}
+	answer := query.home.fanout.Run(context.Background(), request)
+	latency := time.Since(now) + targetMargin
+	query.home.admission.Observe(admissionrequest, latency > kind.TargetLatency || answer.Outcome != api.OutcomeDone)
+	query.simulation.record(query.secondIndex, kind, answer, latency)
 }
 
 // record adds the outcome of a query that was sent in the second with the given
 // index. The value of an answer is proportional to the square of its coverage.
-func (simulation *simulation[C, H]) record(secondIndex int, kind Kind, answer api.Answer, latency time.Duration) {
+func (simulation *simulation[C, H, A]) record(secondIndex int, kind Kind, answer api.Answer, latency time.Duration) {
 	simulation.mutex.Lock()
 	defer simulation.mutex.Unlock()
 	second := &simulation.result.Seconds[secondIndex]
