command/peer: a query of a peer with negative numbers is refused

Looked for: one malformed message takes a process down. No recover stands in the tree beyond those of net/http, so that each decoder's result must be safe to use. A home query whose topK is negative was passed on to TopRecords, which then panicked in a goroutine of the query: one message ended the process.

HomeQuery.Validate refuses it where the message of a peer comes in; the sender of a refused query asks the replicas itself.

--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -248,7 +248,13 @@
 	return api.PeerReply{IsAlive: true}
 }
 
+// answerHomeQuery answers a home query. It sends nothing if the query is invalid; its
+// sender then asks the replicas itself.
 func (peers *Peers) answerHomeQuery(ctx context.Context, query api.HomeQuery, send func(answer api.PartialAnswer) error) {
+	if err := query.Validate(); err != nil {
+		peers.logger.Warn("query of a peer refused", zap.Error(err))
+		return
+	}
 	peers.handlers.AnswerHomeQuery(ctx, query, send)
 }
 
--- a/internal/state/api/homequery.go
+++ b/internal/state/api/homequery.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,18 @@
 	TimeToDeadline time.Duration `cbor:"9,keyasint"`
 }
 
+// Validate returns an InvalidError if a number of the query is out of range. Shards
+// without an epoch or replica hashes are valid; the home reports them as missing.
+func (homequery *HomeQuery) Validate() error {
+	switch {
+	case homequery.TopK < 0:
+		return &InvalidError{Field: "topK", Value: strconv.Itoa(homequery.TopK), Allowed: "0 or more"}
+	case homequery.MaxAttempts < 0:
+		return &InvalidError{Field: "maxAttempts", Value: strconv.Itoa(homequery.MaxAttempts), Allowed: "0 or more"}
+	}
+	return nil
+}
+
 // PartialAnswer is one of the messages in which a home answers a HomeQuery. It
 // holds the parts that arrived since the previous message.
 type PartialAnswer struct {
