command/platform: a restarted instance serves once a peer has had time to correct the platform

Looked for: after a restart a withdrawn key is in use again. It could happen: with an outdated platform an instance served by the documents of its first listing until its first sync with a peer, which knew of the withdrawal, was over.

Now the first listing configures an instance only 100 ms after its start (setting reading.peerWait), unless a peer configures it before. Requests are refused until then, as before the listing. TestReaderAwaitsPeers: on the old code the instance is configured with the withdrawn document at once. With all peers restarted or none there the start takes up to 100 ms longer.

--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -28,8 +28,11 @@
 	// against the platform's rate limit, and a change need only be in force
 	// everywhere within seconds.
 	batchDelay = 300 * time.Millisecond
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
+	// peerPollInterval is how often a reader checks whether a peer has configured the
+	// instance.
+	peerPollInterval = 5 * time.Millisecond
+	minBackoff       = 100 * time.Millisecond
+	maxBackoff       = time.Second
 	// registrationTime is how long after the service answers again the entry of a
 	// live instance may still be missing. Instances register again within about
 	// two seconds.
@@ -72,6 +75,8 @@
 	mayHaveLapsedUntil time.Time
 	// isFailing is set if the latest call failed.
 	isFailing bool
+	// startedAt is when the reader was created.
+	startedAt time.Time
 }
 
 // NewReader returns a Reader of stores, which must all hold the same documents. It
@@ -86,6 +91,7 @@
 		stores:             stores,
 		backoff:            minBackoff,
 		mayHaveLapsedUntil: time.Now().Add(registrationTime),
+		startedAt:          time.Now(),
 	}
 }
 
@@ -141,6 +147,7 @@
 		return err
 	}
 	if reader.revision == 0 {
+		reader.awaitPeers(ctx)
 		if err := reader.mailbox.Send(ctx, message.ConfigurationReceived{}); err != nil {
 			return err
 		}
@@ -152,6 +159,16 @@
 	return nil
 }
 
+// awaitPeers waits until a peer has configured this instance, for at most the time in
+// the settings after the start. The platform may be outdated; a peer that has been
+// running longer then has newer documents, which must be in force before requests are
+// served.
+func (reader *Reader[S]) awaitPeers(ctx context.Context) {
+	for time.Since(reader.startedAt) < reader.Settings.PeerWait.Duration && !reader.currentView.Load().IsConfigured && ctx.Err() == nil {
+		sleep(ctx, peerPollInterval)
+	}
+}
+
 // maxWait returns how long the next call may wait for a change: 0 for a listing of
 // all documents, which must not wait.
 func (reader *Reader[S]) maxWait() time.Duration {
--- a/internal/command/platform/reader_test.go
+++ b/internal/command/platform/reader_test.go
@@ -15,6 +15,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/command/control"
 	"github.com/mimosaspring/mimosaspring/internal/command/platform"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/message"
 	"github.com/mimosaspring/mimosaspring/internal/state/settings"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
@@ -136,6 +137,62 @@
 	return revisions
 }
 
+// TestReaderAwaitsPeers starts an instance while the platform answers with outdated
+// documents. A document that a peer knows to be newer, or withdrawn, must be in force
+// before the instance is configured, that is, before it serves requests.
+func TestReaderAwaitsPeers(t *testing.T) {
+	listing := answer{changes: api.Changes{Revision: 5, Documents: []api.Document{document("a", 5), document("withdrawn", 4)}, IsComplete: true}}
+	withdrawn := document("withdrawn", 8)
+	withdrawn.IsDeleted = true
+	tests := map[string]struct {
+		// peerDelay is the time from the start to the documents of a peer; 0 if there
+		// is no peer.
+		peerDelay        time.Duration
+		wantConfiguredIn time.Duration
+		// wantInitially and wantLater hold the revisions in force when the instance
+		// is configured, and a second after that.
+		wantInitially, wantLater map[string]uint64
+	}{
+		"a peer with newer documents":  {peerDelay: 50 * time.Millisecond, wantConfiguredIn: 50 * time.Millisecond, wantInitially: map[string]uint64{"a": 9}, wantLater: map[string]uint64{"a": 9}},
+		"no peer":                      {wantConfiguredIn: 100 * time.Millisecond, wantInitially: map[string]uint64{"a": 5, "withdrawn": 4}, wantLater: map[string]uint64{"a": 5, "withdrawn": 4}},
+		"a peer that answers too late": {peerDelay: 300 * time.Millisecond, wantConfiguredIn: 100 * time.Millisecond, wantInitially: map[string]uint64{"a": 5, "withdrawn": 4}, wantLater: map[string]uint64{"a": 9}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				start := time.Now()
+				self := api.Member{Instance: api.Instance{Name: "a"}}
+				controlPart := control.New(control.NewState(self, time.Second, start), zap.NewNop())
+				controlPart.Start(ctx, control.PeerCalls{SendGossip: func(api.Gossip) {}, Refresh: func() {}})
+				store := &scriptedStore{answers: []answer{listing}}
+				platform.NewReader([]*scriptedStore{store}, parse, settings.Default().Reading, controlPart, zap.NewNop()).Start(ctx)
+				if test.peerDelay > 0 {
+					time.AfterFunc(test.peerDelay, func() {
+						for _, received := range []message.Message{
+							message.DocumentReceived{Decoded: parse(document("a", 9))},
+							message.DocumentReceived{Decoded: parse(withdrawn)},
+							message.ConfigurationReceived{},
+						} {
+							_ = controlPart.Mailbox.Send(ctx, received)
+						}
+					})
+				}
+				for !controlPart.CurrentView.Load().IsConfigured {
+					time.Sleep(time.Millisecond)
+				}
+				took := time.Since(start)
+				assert.Assert(t, took >= test.wantConfiguredIn && took <= test.wantConfiguredIn+10*time.Millisecond, "%s", took)
+				assert.DeepEqual(t, revisions(controlPart.CurrentView.Load()), test.wantInitially)
+				time.Sleep(time.Second)
+				assert.DeepEqual(t, revisions(controlPart.CurrentView.Load()), test.wantLater)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
 // TestReaderTakesOver checks that an instance without the reader role starts to
 // read once no other instance has reported an answer of the platform for
 // StaleAfter, 83% of 2.4 s, and not before.
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -67,6 +67,9 @@
 	// ReadersPerFailureDomain is the number of instances in a failure domain that
 	// read the service for the others.
 	ReadersPerFailureDomain int `toml:"readersPerFailureDomain"`
+	// PeerWait is how long after its start an instance that has read the service
+	// waits for a peer with newer documents before it serves requests.
+	PeerWait Duration `toml:"peerWait"`
 }
 
 // staleFraction is the fraction of InForceWithin that StaleAfter returns. The
@@ -207,6 +210,7 @@
 			WatchWait:               Duration{Duration: 20 * time.Second},
 			InForceWithin:           Duration{Duration: 36 * time.Second},
 			ReadersPerFailureDomain: 3,
+			PeerWait:                Duration{Duration: 100 * time.Millisecond},
 		},
 		Retries:  Retries{Ratio: 0.2, Slack: 50, Window: Duration{Duration: 10 * time.Second}},
 		Shutdown: Shutdown{DrainTimeout: Duration{Duration: 30 * time.Second}},
