--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -135,6 +135,7 @@
 	}
 	answer := relay.Run(ctx, request)
 	if ctx.Err() == nil {
+		// An answer to a caller that left says nothing about the load.
 		isLate := time.Since(admissionrequest.TargetTime) > sendTime || answer.Outcome != api.OutcomeDone
 		relay.Admission.Observe(admissionrequest, isLate)
 	}
