query/caller: a lowered rank limit recovers with time

Found when reading the diff: the limit rose only with answers, so that after an overload the few queries of a quiet hour were refused until hundreds had been answered in time. It now also rises by itself, from 0 to 1 in 30 s. TestRankAdmissionRecovers: over half of the queries were refused after 30 s of silence, now none.

--- a/internal/query/caller/rankadmission.go
+++ b/internal/query/caller/rankadmission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
 const (
@@ -15,6 +16,9 @@
 	// the share of late answers that is accepted while queries are refused.
 	lateStep   = 0.01
 	onTimeStep = 0.002
+	// limitRecoveryTime is the time in which a limit rises from 0 to 1 without any
+	// answer, so that the few queries after an overload are not refused for long.
+	limitRecoveryTime = 30 * time.Second
 	// minRankLimit is the lowest rank limit. The queries that it admits show whether
 	// the replicas have recovered.
 	minRankLimit = 0.2
@@ -53,8 +57,10 @@
 // rankLimit is the rank limit of the queries of one index. Ranks and limits are
 // shares of the highest rank.
 type rankLimit struct {
-	// limit is the highest rank that is admitted.
-	limit float64
+	// limit is the highest rank that is admitted, as of updatedAt, a time since
+	// view.MonotonicOrigin.
+	limit     float64
+	updatedAt time.Duration
 	// lowLateShare and highLateShare are moving averages of the share of late answers
 	// to queries with a rank below half of limit and with any other rank.
 	lowLateShare  float64
@@ -91,13 +97,17 @@
 	rankadmission.rankLimit(request.Scope.Index).observe(rankShare(request), isLate)
 }
 
-// rankLimit returns the limit of an index. The caller holds mutex.
+// rankLimit returns the limit of an index, raised by the time since its last use. The
+// caller holds mutex.
 func (rankadmission *RankAdmission) rankLimit(index string) *rankLimit {
+	now := view.MonotonicNow()
 	limit := rankadmission.limits[index]
 	if limit == nil {
-		limit = &rankLimit{limit: 1}
+		limit = &rankLimit{limit: 1, updatedAt: now}
 		rankadmission.limits[index] = limit
 	}
+	limit.limit = min(limit.limit+float64(now-limit.updatedAt)/float64(limitRecoveryTime), 1)
+	limit.updatedAt = now
 	return limit
 }
 
--- a/internal/query/caller/rankadmission_test.go
+++ b/internal/query/caller/rankadmission_test.go
@@ -4,12 +4,14 @@
 	"math"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/mimosaspring/mimosaspring/internal/query/caller"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
 // TestRankAdmission observes answers, of which those to some ranks are late, and checks
@@ -90,3 +92,16 @@
 	}
 	return float64(refused) / count
 }
+
+// TestRankAdmissionRecovers leaves an instance without queries after an overload. None
+// of the few queries that come later may be refused for it.
+func TestRankAdmissionRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view.MonotonicOrigin = time.Now().Add(-time.Hour)
+		admission := caller.NewRankAdmission()
+		observe(admission, 4_000, nil, func(rank float64) bool { return rank > 0.3 })
+		assert.Assert(t, refusedShare(t, admission, nil) > 0.5)
+		time.Sleep(30 * time.Second)
+		assert.Equal(t, refusedShare(t, admission, nil), 0.0)
+	})
+}
