--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -54,23 +54,17 @@
 // constant rate: 30 shards with a replica in each of two failure domains. All parts of
 // a query are about as much work.
 func khangai(faults ...model.Fault) model.Scenario {
-	return model.Scenario{
-		Seed: 1,
-		ReplicaConfig: model.ReplicaConfig{
-			Slots: 2, QueueLimit: 12, WorkSigma: 0.05,
-			WorkFactors: []float64{0.8, 1, 1.3}, NoiseShare: 0.15, NoiseFactor: 2.5, NoiseInterval: 600 * time.Millisecond,
-			PauseDuration: 150 * time.Millisecond, PauseInterval: 3600 * time.Millisecond,
-			LocalRoundTrip: 200 * time.Microsecond, RemoteRoundTrip: time.Millisecond,
-		},
-		Kinds: []model.Kind{
-			{Name: "sweep", Weight: 3, MeanWork: 15 * time.Millisecond, WorkSigma: 0.35, TargetLatency: 120 * time.Millisecond, Deadline: 2 * time.Second, Value: 2, LateValueShare: 0.1, MinCoverage: 0.89},
-			{Name: "check", Weight: 1, MeanWork: 5 * time.Millisecond, WorkSigma: 0.35, TargetLatency: 60 * time.Millisecond, Deadline: time.Second, Value: 1, LateValueShare: 0.1, MinCoverage: 0.75},
-		},
-		ShardCount: 30, FailureDomains: []string{"a", "b"},
-		Rate: 97, Duration: 11 * time.Second,
-		BudgetLimits: budget.Limits{Ratio: 0.2, Slack: 52, Window: 10 * time.Second}, InstanceCount: 6, MaxAttempts: 2,
-		Faults: faults,
+	scenario := batinah(faults...)
+	scenario.ReplicaConfig.WorkSigma = 0.05
+	scenario.ReplicaConfig.PauseDuration, scenario.ReplicaConfig.PauseInterval = 150*time.Millisecond, 3600*time.Millisecond
+	scenario.Kinds = []model.Kind{
+		{Name: "sweep", Weight: 3, MeanWork: 15 * time.Millisecond, WorkSigma: 0.35, TargetLatency: 120 * time.Millisecond, Deadline: 2 * time.Second, Value: 2, LateValueShare: 0.1, MinCoverage: 0.89},
+		{Name: "check", Weight: 1, MeanWork: 5 * time.Millisecond, WorkSigma: 0.35, TargetLatency: 60 * time.Millisecond, Deadline: time.Second, Value: 1, LateValueShare: 0.1, MinCoverage: 0.75},
 	}
+	scenario.ShardCount = 30
+	scenario.Rate, scenario.RateAmplitude, scenario.Duration = 97, 0, 11*time.Second
+	scenario.BudgetLimits.Slack, scenario.InstanceCount = 52, 6
+	return scenario
 }
 
 // shareOfReplicas selects about the given share of all replicas. The selection
--- a/internal/wire/http/endless_test.go
+++ b/internal/wire/http/endless_test.go
@@ -12,16 +12,12 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
-
-	"github.com/mimosaspring/mimosaspring/internal/state/api"
-	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
 // endlessReplica answers the first request on each connection, or none if isFirst is
 // set, and sends bytes without end in place of the next answer.
 type endlessReplica struct {
-	listener net.Listener
-	isFirst  bool
+	isFirst bool
 	// start is sent once, and repeated again and again after it until the caller
 	// closes the connection, with pause in between.
 	start, repeated string
@@ -30,41 +26,24 @@
 	closed chan struct{}
 }
 
-func (endlessreplica *endlessReplica) run() {
-	for {
-		conn, err := endlessreplica.listener.Accept()
-		if err != nil {
-			return
-		}
-		go (&endlessConn{replica: endlessreplica, conn: conn}).run()
-	}
-}
-
-// endlessConn is one connection to an endlessReplica.
-type endlessConn struct {
-	replica *endlessReplica
-	conn    net.Conn
-}
-
-func (endlessconn *endlessConn) run() {
-	defer endlessconn.conn.Close()
-	replica := endlessconn.replica
+// serve answers on one connection.
+func (endlessreplica *endlessReplica) serve(conn net.Conn) {
 	buffer := make([]byte, 4<<10)
-	if !replica.isFirst {
-		if _, err := endlessconn.conn.Read(buffer); err != nil {
+	if !endlessreplica.isFirst {
+		if _, err := conn.Read(buffer); err != nil {
 			return
 		}
-		_, _ = io.WriteString(endlessconn.conn, answerFor("a", "first"))
+		_, _ = io.WriteString(conn, answerFor("a", "first"))
 	}
-	if _, err := endlessconn.conn.Read(buffer); err != nil {
+	if _, err := conn.Read(buffer); err != nil {
 		return
 	}
-	_, err := io.WriteString(endlessconn.conn, replica.start)
+	_, err := io.WriteString(conn, endlessreplica.start)
 	for err == nil {
-		time.Sleep(replica.pause)
-		_, err = io.WriteString(endlessconn.conn, replica.repeated)
+		time.Sleep(endlessreplica.pause)
+		_, err = io.WriteString(conn, endlessreplica.repeated)
 	}
-	replica.closed <- struct{}{}
+	endlessreplica.closed <- struct{}{}
 }
 
 // TestRelayLinkEndlessBytes sends requests to a replica that answers with bytes
@@ -103,13 +82,8 @@
 	for name, test := range tests {
 		for kind, isFirst := range map[string]bool{"new connection": true, "used connection": false} {
 			t.Run(name+"/"+kind, func(t *testing.T) {
-				listener, err := net.Listen("tcp", "127.0.0.1:0")
-				assert.NilError(t, err)
-				defer listener.Close()
-				replica := &endlessReplica{listener: listener, isFirst: isFirst, start: test.start, repeated: test.repeated, pause: test.pause, closed: make(chan struct{}, 1)}
-				go replica.run()
-				viewReplica := &view.Replica{Instance: api.Instance{Name: "i-1", Address: listener.Addr().String()}, Upstream: api.Upstream{ConnectionLimit: 26}, Stats: &view.ReplicaStats{}}
-				link := RelayLinkOpener(&DefaultHeaderNames)(viewReplica, 8)
+				replica := &endlessReplica{isFirst: isFirst, start: test.start, repeated: test.repeated, pause: test.pause, closed: make(chan struct{}, 1)}
+				link := newLink(startServer(t, replica.serve))
 				if !isFirst {
 					_, err := link.Send(t.Context(), newAttempt("a"))
 					assert.NilError(t, err)
@@ -119,7 +93,7 @@
 				var before, after runtime.MemStats
 				runtime.ReadMemStats(&before)
 				start := time.Now()
-				_, err = link.Send(ctx, newAttempt("b"))
+				_, err := link.Send(ctx, newAttempt("b"))
 				took := time.Since(start)
 				runtime.ReadMemStats(&after)
 				var senderror *SendError
--- a/internal/wire/http/relaylink_test.go
+++ b/internal/wire/http/relaylink_test.go
@@ -37,47 +37,65 @@
 
 // startReplica starts a scripted replica that stops with the test.
 func startReplica(t *testing.T, script func(number int, request *http.Request) (string, bool)) *scriptedReplica {
+	t.Helper()
+	scriptedreplica := &scriptedReplica{script: script, requests: make(chan *http.Request, 64)}
+	scriptedreplica.listener = startServer(t, scriptedreplica.serve)
+	return scriptedreplica
+}
+
+// testServer serves each connection to its listener in a goroutine of its own.
+type testServer struct {
+	listener net.Listener
+	serve    func(conn net.Conn)
+}
+
+// startServer starts a testServer that stops with the test, and returns its listener.
+func startServer(t *testing.T, serve func(conn net.Conn)) net.Listener {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	scriptedreplica := &scriptedReplica{listener: listener, script: script, requests: make(chan *http.Request, 64)}
 	t.Cleanup(func() { _ = listener.Close() })
-	go scriptedreplica.run()
-	return scriptedreplica
+	server := &testServer{listener: listener, serve: serve}
+	go server.run()
+	return listener
 }
 
-func (scriptedreplica *scriptedReplica) run() {
+func (testserver *testServer) run() {
 	for {
-		conn, err := scriptedreplica.listener.Accept()
+		conn, err := testserver.listener.Accept()
 		if err != nil {
 			return
 		}
-		go (&scriptedConn{replica: scriptedreplica, conn: conn}).run()
+		go (&testServerConn{server: testserver, conn: conn}).run()
 	}
 }
 
-// scriptedConn is one connection to a scripted replica.
-type scriptedConn struct {
-	replica *scriptedReplica
-	conn    net.Conn
+// testServerConn is one connection to a testServer.
+type testServerConn struct {
+	server *testServer
+	conn   net.Conn
 }
 
-func (scriptedconn *scriptedConn) run() {
-	defer scriptedconn.conn.Close()
-	replica := scriptedconn.replica
-	reader := bufio.NewReader(scriptedconn.conn)
+func (testserverconn *testServerConn) run() {
+	defer testserverconn.conn.Close()
+	testserverconn.server.serve(testserverconn.conn)
+}
+
+// serve answers the requests on one connection.
+func (scriptedreplica *scriptedReplica) serve(conn net.Conn) {
+	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
-		if !replica.ignoresBody {
+		if !scriptedreplica.ignoresBody {
 			body, _ := io.ReadAll(request.Body)
 			request.Body = io.NopCloser(strings.NewReader(string(body)))
 		}
-		replica.requests <- request
-		answer, closesConn := replica.script(int(replica.count.Add(1))-1, request)
-		_, _ = io.WriteString(scriptedconn.conn, answer)
+		scriptedreplica.requests <- request
+		answer, closesConn := scriptedreplica.script(int(scriptedreplica.count.Add(1))-1, request)
+		_, _ = io.WriteString(conn, answer)
 		if closesConn {
 			return
 		}
@@ -85,8 +103,11 @@
 }
 
 // link returns a link to the replica that is limited to one connection.
-func (scriptedreplica *scriptedReplica) link() *RelayLink {
-	instance := api.Instance{Name: "i-1", Address: scriptedreplica.listener.Addr().String()}
+func (scriptedreplica *scriptedReplica) link() *RelayLink { return newLink(scriptedreplica.listener) }
+
+// newLink returns a link, limited to one connection, to the replica at listener.
+func newLink(listener net.Listener) *RelayLink {
+	instance := api.Instance{Name: "i-1", Address: listener.Addr().String()}
 	replica := &view.Replica{Instance: instance, Upstream: api.Upstream{ConnectionLimit: 26}, Stats: &view.ReplicaStats{}}
 	return RelayLinkOpener(&DefaultHeaderNames)(replica, 8)
 }
