--- a/internal/query/caller/rankadmission.go
+++ b/internal/query/caller/rankadmission.go
@@ -16,9 +16,11 @@
 	// the share of late answers that is accepted while queries are refused.
 	lateStep   = 0.01
 	onTimeStep = 0.002
-	// limitRecoveryTime is the time in which a limit rises from 0 to 1 without any
-	// answer, so that the few queries after an overload are not refused for long.
-	limitRecoveryTime = 30 * time.Second
+	// minRecoveryDelay is how long no answer must have been late before a limit rises
+	// by itself, and limitRecoveryTime is the time in which it then rises from 0 to 1.
+	// Otherwise the few queries after an overload would be refused for long.
+	minRecoveryDelay  = time.Second
+	limitRecoveryTime = 5 * time.Second
 	// minRankLimit is the lowest rank limit. The queries that it admits show whether
 	// the replicas have recovered.
 	minRankLimit = 0.2
@@ -57,10 +59,12 @@
 // rankLimit is the rank limit of the queries of one index. Ranks and limits are
 // shares of the highest rank.
 type rankLimit struct {
-	// limit is the highest rank that is admitted, as of updatedAt, a time since
+	// limit is the highest rank that is admitted. It was last updated at updatedAt,
+	// and an answer was last late at lateAt. Both are times since
 	// view.MonotonicOrigin.
 	limit     float64
 	updatedAt time.Duration
+	lateAt    time.Duration
 	// lowLateShare and highLateShare are moving averages of the share of late answers
 	// to queries with a rank below half of limit and with any other rank.
 	lowLateShare  float64
@@ -97,20 +101,27 @@
 	rankadmission.rankLimit(request.Scope.Index).observe(rankShare(request), isLate)
 }
 
-// rankLimit returns the limit of an index, raised by the time since its last use. The
-// caller holds mutex.
+// rankLimit returns the limit of an index as of now. The caller holds mutex.
 func (rankadmission *RankAdmission) rankLimit(index string) *rankLimit {
-	now := view.MonotonicNow()
 	limit := rankadmission.limits[index]
 	if limit == nil {
-		limit = &rankLimit{limit: 1, updatedAt: now}
+		limit = &rankLimit{limit: 1}
 		rankadmission.limits[index] = limit
 	}
-	limit.limit = min(limit.limit+float64(now-limit.updatedAt)/float64(limitRecoveryTime), 1)
-	limit.updatedAt = now
+	limit.rise(view.MonotonicNow())
 	return limit
 }
 
+// rise raises the limit by the time since its last update in which it could rise by
+// itself.
+func (ranklimit *rankLimit) rise(now time.Duration) {
+	rising := now - max(ranklimit.updatedAt, ranklimit.lateAt+minRecoveryDelay)
+	if rising > 0 {
+		ranklimit.limit = min(ranklimit.limit+float64(rising)/float64(limitRecoveryTime), 1)
+	}
+	ranklimit.updatedAt = now
+}
+
 // observe adjusts the limit to the answer to a query of the given rank.
 func (ranklimit *rankLimit) observe(rank float64, isLate bool) {
 	lateShare := &ranklimit.highLateShare
@@ -120,6 +131,7 @@
 	observed := 0.0
 	if isLate {
 		observed = 1
+		ranklimit.lateAt = view.MonotonicNow()
 	}
 	*lateShare += (observed - *lateShare) * lateShareWeight
 	if isLate && ranklimit.lowLateShare < maxLowLateRatio*ranklimit.highLateShare {
