query/caller: an answer that failed before its target time is not late

Found by TestMergedAnswer/three_shards_are_down in a whole run of the tests: a query was refused for the load of its replicas, 503, where it had to fail, 502. Queries that failed at once for lack of replicas counted as late, and until enough of the lower ranks had been seen the limit went down. Now only the time decides. TestFailuresAreNotLoad fails on the code before.

In the same run: the stand-in's trial counted instances as ready that are not configured yet, which since reading.peerWait refuse for 100 ms; it waits for that too.

--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -135,9 +135,9 @@
 	}
 	answer := relay.Run(ctx, request)
 	if ctx.Err() == nil {
-		// An answer to a caller that left says nothing about the load.
-		isLate := time.Since(admissionrequest.TargetTime) > sendTime || answer.Outcome != api.OutcomeDone
-		relay.Admission.Observe(admissionrequest, isLate)
+		// An answer to a caller that left says nothing about the load, nor does one
+		// that failed before its target time.
+		relay.Admission.Observe(admissionrequest, time.Since(admissionrequest.TargetTime) > sendTime)
 	}
 	isIncomplete := answer.Outcome == api.OutcomeDone && answer.Coverage.IncludedCount < answer.Coverage.SelectedCount
 	if delay := time.Since(request.TargetTime); isIncomplete && !request.TargetTime.IsZero() && delay >= 0 {
--- a/internal/query/caller/relay_test.go
+++ b/internal/query/caller/relay_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/query/caller"
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -83,3 +86,26 @@
 		assert.Assert(t, serve() >= 78*time.Millisecond)
 	})
 }
+
+// TestFailuresAreNotLoad lets every query fail before its target time, as without
+// replicas. None may be refused for it: refusals would not help the others.
+func TestFailuresAreNotLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view.MonotonicOrigin = time.Now().Add(-time.Hour)
+		relay := &caller.Relay[*caller.RankAdmission]{Admission: caller.NewRankAdmission(), TargetMargin: 20 * time.Millisecond, Metrics: metrics.New()}
+		relay.Run = func(context.Context, upstream.Request) api.Answer {
+			time.Sleep(5 * time.Millisecond)
+			return api.Answer{Outcome: api.OutcomeUnknown}
+		}
+		scope := api.Scope{Form: api.FormMerged, TargetLatency: api.Duration{Duration: 100 * time.Millisecond}}
+		for number := range 1_000 {
+			relayedRequest := &api.RelayedRequest{Identity: strconv.Itoa(number)}
+			if upstream.Rank(relayedRequest) < math.MaxUint32/2 {
+				// The queries that would be refused first.
+				continue
+			}
+			answer := relay.Serve(t.Context(), view.Call{Scope: view.Scope{Scope: scope}, RelayedRequest: relayedRequest, Start: time.Now()})
+			assert.Equal(t, answer.Outcome, api.OutcomeUnknown)
+		}
+	})
+}
--- a/internal/standin/model/simulation.go
+++ b/internal/standin/model/simulation.go
@@ -306,7 +306,7 @@
 	}
 	answer := query.home.fanout.Run(context.Background(), request)
 	latency := time.Since(now) + targetMargin
-	query.home.admission.Observe(admissionrequest, latency > kind.TargetLatency || answer.Outcome != api.OutcomeDone)
+	query.home.admission.Observe(admissionrequest, latency > kind.TargetLatency)
 	query.simulation.record(query.secondIndex, kind, answer, latency)
 }
 
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -146,8 +146,8 @@
 	return deployment.PutDocument(trial.Platform.Store, api.InstancesPrefix+api.OwnUpstream, list)
 }
 
-// AwaitReady waits until every instance regards all instances as alive and has
-// the scopes of all plans in force. It returns an error after readyTimeout or if ctx
+// AwaitReady waits until every instance is configured, regards all instances as alive
+// and has the scopes of all plans in force. It returns an error after readyTimeout or if ctx
 // ends first.
 func (trial *Trial) AwaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
@@ -170,7 +170,7 @@
 			aliveMembers++
 		}
 	}
-	return aliveMembers == len(trial.Instances) && len(view.Scopes) >= trial.scopeCount()
+	return view.IsConfigured && aliveMembers == len(trial.Instances) && len(view.Scopes) >= trial.scopeCount()
 }
 
 // scopeCount returns the number of scopes of all plans.
