command/upstream: a command's latency is recorded after the reply's slowdown, as before

Found when reading the change once more: moved ObserveLatency ahead of ObserveReport for commands, so that their latency was divided by the slowdown of the reply before. The order is the old one again, and the status is checked once.

--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -149,10 +149,7 @@
 	if reply.Status != api.ReplyDone {
 		relayedcommand.addTrace(trace.AttemptFailed, replica.Instance.Name, "the replica answered "+string(reply.Status))
 	}
-	if reply.Status == api.ReplyDone {
-		replica.Stats.ObserveLatency(view.MonotonicNow()-start, waitFactor)
-	}
-	return relayer.answerOfReply(replica, reply)
+	return relayer.answerOfReply(replica, reply, view.MonotonicNow()-start, waitFactor)
 }
 
 // answerOfError returns the answer to an attempt that got no reply. It reports
@@ -170,7 +167,7 @@
 // answerOfReply returns the answer to an attempt from its reply, and records the
 // reply in the replica's statistics. It reports false if the reply says that the
 // command did not run.
-func (relayer *Relayer[C]) answerOfReply(replica *view.Replica, reply api.Reply) (api.Answer, bool) {
+func (relayer *Relayer[C]) answerOfReply(replica *view.Replica, reply api.Reply, latency time.Duration, waitFactor float64) (api.Answer, bool) {
 	stats := replica.Stats
 	stats.ObserveOutcome(reply.Status == api.ReplyDone)
 	stats.ObserveReport(reply)
@@ -179,6 +176,7 @@
 	}
 	switch {
 	case reply.Status == api.ReplyDone:
+		stats.ObserveLatency(latency, waitFactor)
 		return api.Answer{Outcome: api.OutcomeDone, Response: reply.Response, SentRequests: 1}, true
 	case reply.Status.IsNotRun():
 		return api.Answer{}, false
