platform, command/control: odd entries of other writers put out no replica

An invalid entry replaced the valid one of a known replica. One undecodable item failed its whole page or watch, which was then asked for again and again.

The same process in another upstream is another writer's too. Items are decoded one by one; a listing that lacks one removes nothing; an unreadable watch is followed by a listing. A report of a leaving replica that a full mailbox dropped is made up for at the next tick.

Ruled out: numbers beyond 64 bits, deep nesting in a value (10,000 levels are the decoder's bound) and ports above 65535 were refused before.

--- a/internal/command/control/outdated_test.go
+++ b/internal/command/control/outdated_test.go
@@ -133,6 +133,48 @@
 	assert.Equal(t, inForce.Instances.Instances[0].State, api.InstanceLive)
 }
 
+// TestEntryOfAnotherWriter checks that an entry which no replica can have written
+// does not end the use of a replica that is known, and that the replica's own next
+// entry is in force again.
+func TestEntryOfAnotherWriter(t *testing.T) {
+	foreignUpstream := entry(6, 7, api.InstanceLive)
+	foreignUpstream.Instances.Instances[0].Upstream = "another"
+	invalid := api.DecodedDocument{Document: entry(6, 7, api.InstanceLive).Document, RefusalReason: "no address"}
+	tests := map[string]api.DecodedDocument{"refused": invalid, "the same process in another upstream": foreignUpstream}
+	for name, odd := range tests {
+		t.Run(name, func(t *testing.T) {
+			state := newState("a")
+			control.Apply(state, message.DocumentReceived{Decoded: entry(5, 7, api.InstanceLive)}, start)
+			control.Apply(state, message.DocumentReceived{Decoded: odd}, start)
+			inForce := state.DocumentsInForce["instances/replica"].Instances.Instances[0]
+			assert.Equal(t, inForce.Upstream, "upstream")
+			assert.Equal(t, inForce.State, api.InstanceLive)
+			control.Apply(state, message.DocumentReceived{Decoded: entry(7, 7, api.InstanceLeaving)}, start)
+			assert.Equal(t, state.DocumentsInForce["instances/replica"].Instances.Instances[0].State, api.InstanceLeaving)
+		})
+	}
+}
+
+// TestDroppedLeavingReport checks that a replica which announced that it is leaving
+// stays out of use, if its entry is removed and registered again, although the
+// report about it was dropped.
+func TestDroppedLeavingReport(t *testing.T) {
+	state := newState("a")
+	upstreams := api.DecodedDocument{
+		Document:  api.Document{Key: "upstreams/all", Revision: 1},
+		Upstreams: &api.Upstreams{Upstreams: []api.Upstream{{Name: "upstream", Slots: 1, ConnectionLimit: 1}}},
+	}
+	control.Apply(state, message.DocumentReceived{Decoded: upstreams}, start)
+	control.Apply(state, message.DocumentReceived{Decoded: entry(5, 1, api.InstanceLive)}, start)
+	control.Build(state, control.RebuildAll).Replicas["replica"].Stats.IsLeaving.Store(true)
+	effects := control.Apply(state, message.Ticked{}, start)
+	assert.DeepEqual(t, effects.Gossip.LeavingReplicas, []api.LeavingReplica{{Replica: "replica", Incarnation: 1}})
+	control.Apply(state, message.DocumentReceived{Decoded: removal(6)}, start)
+	control.Build(state, control.RebuildAll)
+	control.Apply(state, message.DocumentReceived{Decoded: entry(7, 1, api.InstanceLive)}, start)
+	assert.Assert(t, control.Build(state, control.RebuildAll).Replicas["replica"].Stats.IsLeaving.Load())
+}
+
 // TestRestartAfterClockSetBack checks that a process supersedes its predecessor of
 // the same name even if the system clock was set back between the two starts, so
 // that the predecessor's incarnation is higher.
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -200,18 +200,21 @@
 }
 
 // newerInstances returns next, or known if next has an older incarnation of one
-// of the known instances. In that case next is a late write of a process that has
-// been replaced.
+// of the known instances, or the same incarnation in another upstream. In the first
+// case next is a late write of a process that has been replaced, in the second case
+// it is of another writer: a process does not change its upstream.
 func newerInstances(known, next *api.InstanceList) *api.InstanceList {
 	if known == nil || next == nil {
 		return next
 	}
-	incarnations := make(map[string]uint64, len(known.Instances))
+	byName := make(map[string]api.Instance, len(known.Instances))
 	for _, instance := range known.Instances {
-		incarnations[instance.Name] = instance.Incarnation
+		byName[instance.Name] = instance
 	}
 	for _, instance := range next.Instances {
-		if instance.Incarnation < incarnations[instance.Name] {
+		previous, isKnown := byName[instance.Name]
+		isOther := instance.Incarnation == previous.Incarnation && instance.Upstream != previous.Upstream
+		if isKnown && (instance.Incarnation < previous.Incarnation || isOther) {
 			return known
 		}
 	}
@@ -296,6 +299,21 @@
 	return Effects{RebuildConfiguration: true, Gossip: api.Gossip{LeavingReplicas: []api.LeavingReplica{leavingreplica}}}
 }
 
+// applyObservedLeaving records the replicas that announced that they are leaving,
+// where a full mailbox dropped the report. Without a record, a replica whose entry is
+// removed and registered again would be used again.
+func applyObservedLeaving(state *State, now time.Time) Effects {
+	var effects Effects
+	for name, replica := range state.Replicas {
+		if !replica.Stats.IsLeaving.Load() || replica.Instance.State == api.InstanceLeaving {
+			continue
+		}
+		leavingreplica := api.LeavingReplica{Replica: name, Incarnation: replica.Instance.Incarnation}
+		effects.merge(applyLeavingReplica(state, leavingreplica, now))
+	}
+	return effects
+}
+
 // applySnapshotsReported records a snapshot report, unless it is of a replica or an
 // incarnation that is not published.
 func applySnapshotsReported(state *State, replicasnapshotsreported message.ReplicaSnapshotsReported) Effects {
@@ -316,6 +334,7 @@
 	}
 	effects := failExpiredSuspects(state, now)
 	effects.merge(applyDueRemovals(state, now))
+	effects.merge(applyObservedLeaving(state, now))
 	effects.merge(deleteExpired(state, now))
 	return effects
 }
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -134,9 +134,16 @@
 		reader.revision = 0
 		return nil
 	}
+	if errors.Is(err, api.ErrUnreadable) {
+		// The changes since reader.revision may never become readable.
+		reader.revision = 0
+	}
 	if err != nil {
 		return err
 	}
+	if changes.UnreadableCount > 0 {
+		reader.logger.Warn("entries of the platform cannot be decoded", zap.Int("count", changes.UnreadableCount), zap.Uint64("revision", changes.Revision))
+	}
 	if changes.Revision < minRevision {
 		return reader.rejectStale(ctx, changes.Revision, minRevision)
 	}
@@ -195,6 +202,9 @@
 		if ignored := received.Decoded.IgnoredReason; ignored != "" {
 			reader.logger.Info("document names nothing to use", zap.String("key", document.Key), zap.Uint64("revision", document.Revision), zap.String("reason", ignored))
 		}
+		if refusal := received.Decoded.RefusalReason; refusal != "" {
+			reader.logger.Warn("document refused", zap.String("key", document.Key), zap.Uint64("revision", document.Revision), zap.String("reason", refusal))
+		}
 		if err := reader.mailbox.Send(ctx, received); err != nil {
 			return err
 		}
--- a/internal/command/platform/reader_test.go
+++ b/internal/command/platform/reader_test.go
@@ -73,6 +73,7 @@
 	}
 	historyGone := answer{err: errors.WithStack(api.ErrHistoryGone)}
 	failure := answer{err: errors.New("down")}
+	unreadable := answer{err: errors.WithMessage(api.ErrUnreadable, "watch")}
 	tests := map[string]struct {
 		answers []answer
 		// wantRequests holds the revisions whose changes the reader requests.
@@ -97,6 +98,19 @@
 			wantRequests: []uint64{0, 5, 5, 5, 7},
 			wantInForce:  map[string]uint64{"a": 7},
 		},
+		"an unreadable watch": {
+			answers:      []answer{listing(5, document("a", 3)), unreadable, listing(8, document("a", 7), document("b", 8)), change(9, document("b", 9))},
+			wantRequests: []uint64{0, 5, 0, 8, 9},
+			wantInForce:  map[string]uint64{"a": 7, "b": 9},
+		},
+		"an unreadable entry of a listing": {
+			answers: []answer{
+				listing(5, document("a", 3), document("b", 5)), historyGone,
+				{changes: api.Changes{Revision: 9, Documents: []api.Document{document("a", 9)}, UnreadableCount: 1}},
+			},
+			wantRequests: []uint64{0, 5, 0, 9},
+			wantInForce:  map[string]uint64{"a": 9, "b": 5},
+		},
 		"an outdated answer": {
 			answers:          []answer{listing(5, document("a", 5)), change(4, document("a", 4))},
 			wantRequests:     []uint64{0, 5, 5},
--- a/internal/state/api/document.go
+++ b/internal/state/api/document.go
@@ -69,6 +69,9 @@
 // for. The caller has to read the full state instead.
 var ErrHistoryGone = errors.New("the store no longer holds the changes since the requested revision")
 
+// ErrUnreadable reports that a store sent a whole reply that cannot be decoded.
+var ErrUnreadable = errors.New("the reply cannot be decoded")
+
 // Changes is a store's answer to a read or watch call: documents as of one
 // revision.
 type Changes struct {
@@ -78,6 +81,9 @@
 	// IsComplete is set if Documents holds every key, so that a key that it does
 	// not hold has been deleted.
 	IsComplete bool
+	// UnreadableCount is the number of entries that could not be decoded and are not
+	// in Documents.
+	UnreadableCount int
 }
 
 // CallerLimits bounds what a caller may send on a connection.
--- a/internal/state/api/validate.go
+++ b/internal/state/api/validate.go
@@ -41,6 +41,15 @@
 	return nil
 }
 
+// ValidateRemoteAddress returns an InvalidError for field unless address is an IP
+// number and a port to which a connection can be opened, that is, other than 0.
+func ValidateRemoteAddress(field, address string) error {
+	if parsed, err := netip.ParseAddrPort(address); err != nil || parsed.Port() == 0 {
+		return newInvalidError(field, address, "an IP number and a port from 1, as 127.0.0.1:7000")
+	}
+	return nil
+}
+
 // Validate returns an InvalidError for the first invalid field. It does not check
 // references to other documents.
 func (index Index) Validate() error {
@@ -152,11 +161,11 @@
 		if instance.State != InstanceLive && instance.State != InstanceLeaving {
 			return newInvalidError("instances.state", string(instance.State), string(InstanceLive)+" or "+string(InstanceLeaving))
 		}
-		if err := ValidateAddress("instances.address", instance.Address); err != nil {
+		if err := ValidateRemoteAddress("instances.address", instance.Address); err != nil {
 			return err
 		}
 		if instance.Upstream == OwnUpstream {
-			if err := ValidateAddress("instances.peerAddress", instance.PeerAddress); err != nil {
+			if err := ValidateRemoteAddress("instances.peerAddress", instance.PeerAddress); err != nil {
 				return err
 			}
 		}
