wire/http, query/upstream: nothing is sent to a replica that is leaving or asks to wait

Both are recorded before the connection that carried the answer goes to the next attempt, and checked in one place, directly before a request is written; so they hold for attempts that wait for a connection, hedges, retries, home queries and commands. Links are keyed by the replica's stats, so that a replica published again after a gap is not kept out by the link of before. An attempt that was not sent draws on no retry budget, for commands too. If all replicas of the only upstream wait, the request is refused at once with the earliest time at which one takes requests; a home reports the same with a missing shard.

TestRelayLinkAnswerCutAnywhere, an answer cut after each byte, passed at once: a replica that stops within its head does not yield a whole answer here.

--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -63,31 +63,37 @@
 	relayer.Budget.RecordFirst(relayedcommand.Shard.Upstream.Name)
 	tried := make(map[string]bool)
 	refusals := 0
-	for isFirst := true; ctx.Err() == nil; isFirst = false {
+	isRepeat := false
+	for ctx.Err() == nil {
 		replica := relayer.choose(ctx, relayedcommand.Shard, tried)
 		if replica == nil {
+			wait := view.CoverageWait([]view.Shard{relayedcommand.Shard}, 1, view.MonotonicNow())
+			if wait > 0 {
+				return refusedAnswer("all replicas of upstream "+relayedcommand.Shard.Name+" asked to wait", wait)
+			}
 			if len(tried) == 0 || !pauseBefore(ctx, relayedcommand.RetryUntil) {
-				return refusedAnswer("no replica of upstream " + relayedcommand.Shard.Name + " took the command")
+				return refusedAnswer("no replica of upstream "+relayedcommand.Shard.Name+" took the command", refusalRetryAfter)
 			}
 			clear(tried)
 			continue
 		}
-		if !isFirst && !relayer.Budget.Allow(relayedcommand.Shard.Upstream.Name, budgetShare) {
+		if isRepeat && !relayer.Budget.Allow(relayedcommand.Shard.Upstream.Name, budgetShare) {
 			relayedcommand.addTrace(trace.RetryBudgetExhausted, "", "upstream "+relayedcommand.Shard.Upstream.Name)
-			return refusedAnswer("the retry budget of upstream " + relayedcommand.Shard.Name + " is spent")
+			return refusedAnswer("the retry budget of upstream "+relayedcommand.Shard.Name+" is spent", refusalRetryAfter)
 		}
 		tried[replica.Instance.Name] = true
 		relayedcommand.addTrace(trace.AttemptSent, replica.Instance.Name, "")
-		answer, isFinal := relayer.attempt(ctx, replica, relayedcommand)
-		if isFinal {
-			return answer
+		outcome := relayer.attempt(ctx, replica, relayedcommand)
+		if outcome.isFinal {
+			return outcome.answer
 		}
+		isRepeat = isRepeat || outcome.isSent
 		refusals++
 		if refusals >= maxRefusals {
 			break
 		}
 	}
-	return refusedAnswer("no replica of upstream " + relayedcommand.Shard.Name + " took the command in time")
+	return refusedAnswer("no replica of upstream "+relayedcommand.Shard.Name+" took the command in time", refusalRetryAfter)
 }
 
 // maxRefusals bounds the attempts at one command, none of which ran it.
@@ -95,8 +101,8 @@
 
 // refusedAnswer returns the answer to a command that did not run, with the time
 // after which the caller is told to try again.
-func refusedAnswer(reason string) api.Answer {
-	return api.Answer{Outcome: api.OutcomeNotRun, Reason: reason, RetryAfter: refusalRetryAfter, IsProvenNotRun: true}
+func refusedAnswer(reason string, retryAfter time.Duration) api.Answer {
+	return api.Answer{Outcome: api.OutcomeNotRun, Reason: reason, RetryAfter: retryAfter, IsProvenNotRun: true}
 }
 
 // pauseBefore waits for refusalPause. It reports false at once if the pause would
@@ -127,9 +133,18 @@
 	return relayer.Choice.Choose(usable)
 }
 
-// attempt sends the command to replica. It reports false if the command certainly did
-// not run there, so that it may be sent to another replica.
-func (relayer *Relayer[C]) attempt(ctx context.Context, replica *view.Replica, relayedcommand RelayedCommand) (api.Answer, bool) {
+// attemptOutcome is what is known after an attempt at a command.
+type attemptOutcome struct {
+	answer api.Answer
+	// isFinal is set if the command may have run, so that answer is its answer.
+	isFinal bool
+	// isSent is set if the replica may have received the command. Only then does
+	// the next attempt draw on the retry budget.
+	isSent bool
+}
+
+// attempt sends the command to replica.
+func (relayer *Relayer[C]) attempt(ctx context.Context, replica *view.Replica, relayedcommand RelayedCommand) attemptOutcome {
 	link := relayer.Links.Get(replica, len(relayedcommand.View.Members))
 	attempt := api.Attempt{
 		Shard:          relayedcommand.Shard.Name,
@@ -152,35 +167,39 @@
 	return relayer.answerOfReply(replica, reply, view.MonotonicNow()-start, waitFactor)
 }
 
-// answerOfError returns the answer to an attempt that got no reply. It reports
-// false if the command certainly did not run.
-func (relayer *Relayer[C]) answerOfError(ctx context.Context, replica *view.Replica, err error) (api.Answer, bool) {
+// answerOfError returns the outcome of an attempt that got no reply.
+func (relayer *Relayer[C]) answerOfError(ctx context.Context, replica *view.Replica, err error) attemptOutcome {
+	if errors.Is(err, http.ErrNotAccepting) {
+		return attemptOutcome{}
+	}
 	replica.Stats.ObserveOutcome(false)
 	var senderror *http.SendError
 	if errors.As(err, &senderror) && !senderror.MayHaveRun {
-		return api.Answer{}, false
+		return attemptOutcome{}
 	}
 	reason := "the command may have run: " + err.Error()
-	return api.Answer{Outcome: api.OutcomeUnknown, Reason: reason, IsDeadlineExceeded: ctx.Err() != nil}, true
+	answer := api.Answer{Outcome: api.OutcomeUnknown, Reason: reason, IsDeadlineExceeded: ctx.Err() != nil}
+	return attemptOutcome{answer: answer, isFinal: true, isSent: true}
 }
 
-// answerOfReply returns the answer to an attempt from its reply, and records the
-// reply in the replica's statistics. It reports false if the reply says that the
-// command did not run.
-func (relayer *Relayer[C]) answerOfReply(replica *view.Replica, reply api.Reply, latency time.Duration, waitFactor float64) (api.Answer, bool) {
+// answerOfReply returns the outcome of an attempt from its reply, and records the
+// reply in the replica's statistics.
+func (relayer *Relayer[C]) answerOfReply(replica *view.Replica, reply api.Reply, latency time.Duration, waitFactor float64) attemptOutcome {
 	stats := replica.Stats
 	stats.ObserveOutcome(reply.Status == api.ReplyDone)
 	stats.ObserveReport(reply)
-	if reply.Status == api.ReplyWrongReplica {
+	if reply.IsLeaving || reply.Status == api.ReplyWrongReplica {
 		message.ReportLeaving(relayer.Mailbox, replica)
 	}
 	switch {
 	case reply.Status == api.ReplyDone:
 		stats.ObserveLatency(latency, waitFactor)
-		return api.Answer{Outcome: api.OutcomeDone, Response: reply.Response, SentRequests: 1}, true
+		answer := api.Answer{Outcome: api.OutcomeDone, Response: reply.Response, SentRequests: 1}
+		return attemptOutcome{answer: answer, isFinal: true, isSent: true}
 	case reply.Status.IsNotRun():
-		return api.Answer{}, false
+		return attemptOutcome{isSent: true}
 	}
 	reason := "replica " + replica.Instance.Name + " failed the command"
-	return api.Answer{Outcome: api.OutcomeUnknown, Reason: reason, Response: reply.Response}, true
+	answer := api.Answer{Outcome: api.OutcomeUnknown, Reason: reason, Response: reply.Response}
+	return attemptOutcome{answer: answer, isFinal: true, isSent: true}
 }
--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -125,13 +125,14 @@
 		Rank:        upstream.Rank(call.RelayedRequest),
 		IsReturning: isReturning(call),
 	}
+	if wait := replicaWait(request); wait > 0 {
+		return relay.refuse(call, Refusal{Reason: "all replicas asked to wait", RetryAfter: wait})
+	}
 	if !request.TargetTime.IsZero() {
 		request.TargetTime = request.TargetTime.Add(-request.InstanceLag)
 	}
 	if refusal := relay.Admission.Admit(admissionrequest); refusal != nil {
-		relay.Metrics.Add("queries.refused."+request.Scope.Class, 1)
-		call.Trace.Add(trace.RequestRefused, "", "", refusal.Reason)
-		return api.Answer{Outcome: api.OutcomeNotRun, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter, IsProvenNotRun: true}
+		return relay.refuse(call, *refusal)
 	}
 	answer := relay.Run(ctx, request)
 	if ctx.Err() == nil {
@@ -146,6 +147,23 @@
 	return answer
 }
 
+// refuse returns the answer to a call that was refused before anything was sent.
+func (relay *Relay[A]) refuse(call view.Call, refusal Refusal) api.Answer {
+	relay.Metrics.Add("queries.refused."+call.Scope.Scope.Class, 1)
+	call.Trace.Add(trace.RequestRefused, "", "", refusal.Reason)
+	return api.Answer{Outcome: api.OutcomeNotRun, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter, IsProvenNotRun: true}
+}
+
+// replicaWait returns how long all replicas of a request to a single upstream want
+// nothing from this instance. It is 0 for a merged request: most of its shards are
+// queried by their homes, to which the wait does not apply.
+func replicaWait(request upstream.Request) time.Duration {
+	if request.Scope.Form != api.FormRelayed {
+		return 0
+	}
+	return view.CoverageWait(request.Selection.Shards, request.Scope.MinCoverage, view.MonotonicNow())
+}
+
 // selectionOf returns the shards that a call covers. For a scope whose requests are
 // relayed to a single upstream, it selects the upstream at random by the weights of
 // the scope's traffic split.
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -55,7 +55,7 @@
 	pass.fanout.CurrentView.Current(attempt.ctx)
 	replicastats := attempt.replica.Stats
 	if replicastats.IsLeaving.Load() || attempt.ctx.Err() != nil {
-		return attemptResult{reason: api.MissingRefused, isNotRun: true}
+		return attemptResult{reason: api.MissingRefused, isNotRun: true, isUnsent: true}
 	}
 	link := pass.fanout.Links.Get(attempt.replica, len(pass.request.View.Members))
 	pass.sentAttempts.Add(1)
@@ -131,8 +131,11 @@
 		replicastats.ObserveCancelled(latency, attempt.waitFactor)
 		return attemptResult{reason: api.MissingDeadline, isNotRun: isNotRun}
 	}
-	replicastats.ObserveOutcome(false)
 	attempt.shardQuery.addTrace(trace.AttemptFailed, attempt.replica.Instance.Name, err.Error())
+	if errors.Is(err, http.ErrNotAccepting) {
+		return attemptResult{reason: api.MissingRefused, isNotRun: true, isUnsent: true}
+	}
+	replicastats.ObserveOutcome(false)
 	if replicastats.ConsecutiveFailures.Add(1) >= failuresUntilEjection {
 		replicastats.EjectedUntil.Store(int64(view.MonotonicNow() + ejectionTime))
 	}
--- a/internal/query/upstream/homequery.go
+++ b/internal/query/upstream/homequery.go
@@ -238,7 +238,7 @@
 		if _, isUnsettled := homequery.unsettledShards[missing.Shard]; isUnsettled && missing.Reason != api.MissingMoved {
 			delete(homequery.unsettledShards, missing.Shard)
 			pass.request.Trace.Add(trace.ShardOmitted, missing.Shard, homequery.group.Peer.Instance.Name, string(missing.Reason))
-			pass.deliver(homequery.ctx, &shardResult{shard: missing.Shard, reason: missing.Reason})
+			pass.deliver(homequery.ctx, &shardResult{shard: missing.Shard, reason: missing.Reason, retryAfter: max(missing.RetryAfter, 0)})
 		}
 	}
 }
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -37,6 +37,9 @@
 	hasHomeResponded atomic.Bool
 	// failedResponse is the replica's error response to a relayed request.
 	failedResponse *api.Response
+	// refusalWaits holds, for each shard that is missing because all of its
+	// replicas asked to wait, how long that is.
+	refusalWaits []time.Duration
 }
 
 // shardResult is the result of one shard, or of several shards in a partial
@@ -45,6 +48,7 @@
 	// shard names the shard of part, or the missing shard.
 	shard        string
 	reason       api.MissingReason
+	retryAfter   time.Duration
 	newerVersion newerVersion
 	part         api.Part
 	// mergedParts holds the parts whose records are merged into mergedRecords.
@@ -180,6 +184,9 @@
 		}
 	case result.reason != "":
 		collector.AddMissing(result.shard, result.reason)
+		if result.retryAfter > 0 {
+			pass.refusalWaits = append(pass.refusalWaits, result.retryAfter)
+		}
 		pass.failedResponse = result.part.Response
 	default:
 		if err := collector.Add(result.part); err != nil {
@@ -199,6 +206,8 @@
 		IsProvenNotRun: pass.possibleRuns.Load() == 0,
 		Response:       pass.failedResponse,
 	}
+	lacking := view.RequiredCount(answer.Coverage.SelectedCount, pass.request.Scope.MinCoverage) - answer.Coverage.IncludedCount
+	answer.RetryAfter = view.NthWait(pass.refusalWaits, lacking)
 	fillAnswer(&answer, pass.request.Scope, collector)
 	return answer
 }
--- a/internal/query/upstream/peerquery.go
+++ b/internal/query/upstream/peerquery.go
@@ -89,7 +89,7 @@
 func (peerquery *peerQuery[C, H, L, P]) addResult(result *shardResult) {
 	peerquery.unsettledCount--
 	if result.reason != "" {
-		peerquery.unsentMissing = append(peerquery.unsentMissing, api.MissingShard{Shard: result.shard, Reason: result.reason})
+		peerquery.unsentMissing = append(peerquery.unsentMissing, api.MissingShard{Shard: result.shard, Reason: result.reason, RetryAfter: result.retryAfter})
 		return
 	}
 	peerquery.unsentParts = append(peerquery.unsentParts, result.part)
--- a/internal/query/upstream/shardquery.go
+++ b/internal/query/upstream/shardquery.go
@@ -148,6 +148,12 @@
 func (shardquery *shardQuery[C, H, L, P]) reportMissing() {
 	shardquery.addTrace(trace.ShardOmitted, "", string(shardquery.lastFailure.reason))
 	result := &shardResult{shard: shardquery.shard.Name, reason: shardquery.lastFailure.reason, newerVersion: shardquery.lastFailure.newerVersion}
+	if wait := view.ReplicaWait(shardquery.shard.Replicas, view.MonotonicNow()); wait != view.NeverAvailable {
+		result.retryAfter = wait
+		if wait > 0 {
+			result.reason = api.MissingRefused
+		}
+	}
 	if shardquery.pass.request.Scope.Form == api.FormRelayed {
 		// The caller receives the replica's own error response.
 		result.part = shardquery.lastFailure.part
--- a/internal/standin/upstream/config.go
+++ b/internal/standin/upstream/config.go
@@ -45,6 +45,15 @@
 	HideLeaving bool `json:"hideLeaving"`
 	// FailAll runs requests and reports each as failed.
 	FailAll bool `json:"fail"`
+	// AnnounceLeaving states in the answers to relayed requests that the replica is
+	// leaving, while it still runs them.
+	AnnounceLeaving bool `json:"announceLeaving"`
+	// RetryAfter refuses relayed requests without running them, and asks to be sent
+	// nothing for this time.
+	RetryAfter time.Duration `json:"retryAfter"`
+	// CutHead closes the connection in the middle of the head of the answer to a
+	// relayed request.
+	CutHead bool `json:"cutHead"`
 	// ColdDuration is how long the service time is multiplied by coldFactor after
 	// the faults were set.
 	ColdDuration time.Duration `json:"coldFor"`
--- a/internal/standin/upstream/relay.go
+++ b/internal/standin/upstream/relay.go
@@ -48,6 +48,9 @@
 	defer cancel()
 	attempt := api.Attempt{Identity: identity, Shard: replica.onlyShard(), IsCommand: true, Epoch: 1, Body: body}
 	status := replica.admit(attempt)
+	if replica.setAcceptance(writer.Header()) {
+		status = api.ReplyShed
+	}
 	if status == "" && !replica.acquireSlot(ctx) {
 		status = api.ReplyShed
 	}
@@ -62,6 +65,32 @@
 	replica.writeRelayed(writer, identity, status)
 }
 
+// setAcceptance sets the headers of the faults by which the replica asks for no
+// further requests. It reports whether the replica refuses this one.
+func (replica *Replica) setAcceptance(header http.Header) bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	if replica.faults.AnnounceLeaving {
+		header.Set(wire.DefaultHeaderNames.Leaving, "1")
+	}
+	if replica.faults.RetryAfter <= 0 {
+		return false
+	}
+	header.Set("Retry-After", strconv.FormatFloat(replica.faults.RetryAfter.Seconds(), 'f', -1, 64))
+	return true
+}
+
+// cutHead writes the first line of an answer and a part of its second line, and
+// closes the connection.
+func cutHead(writer http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(writer).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+	_ = conn.Close()
+}
+
 // onlyShard returns the shard that the replica serves. Replicas that take relayed
 // requests serve one shard. It returns "" if the replica serves none.
 func (replica *Replica) onlyShard() string {
@@ -97,6 +126,8 @@
 	switch {
 	case status != api.ReplyDone:
 		writer.WriteHeader(http.StatusInternalServerError)
+	case faults.CutHead:
+		cutHead(writer)
 	case faults.Truncate:
 		writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = writer.Write(body[:len(body)/2])
--- a/internal/state/api/caller.go
+++ b/internal/state/api/caller.go
@@ -67,6 +67,9 @@
 type MissingShard struct {
 	Shard  string        `json:"shard"`
 	Reason MissingReason `json:"reason"`
+	// RetryAfter is how long all replicas of the shard want no requests; 0 if that
+	// is not the reason why the shard is missing.
+	RetryAfter time.Duration `json:"-" cbor:"RetryAfter,omitempty"`
 }
 
 // Coverage states how many of the selected shards an answer includes, and
--- a/internal/state/api/upstream.go
+++ b/internal/state/api/upstream.go
@@ -89,6 +89,9 @@
 	HeldSnapshots []uint64
 	// IsLeaving is set if the replica is draining.
 	IsLeaving bool
+	// RetryAfter is how long the replica asks this instance to send it nothing; 0
+	// if it does not ask.
+	RetryAfter time.Duration
 	// Load is the number of requests that the replica runs or queues.
 	Load int
 	// Slowdown is how long the replica's work takes now, as a multiple of the
--- a/internal/state/message/report.go
+++ b/internal/state/message/report.go
@@ -12,7 +12,8 @@
 // further requests, and reports it to control. Only the first call for a replica
 // has an effect.
 func ReportLeaving(mailbox *mailbox.Mailbox[Message], replica *view.Replica) {
-	if replica.Stats.IsLeaving.Swap(true) {
+	replica.Stats.IsLeaving.Store(true)
+	if replica.Stats.IsLeavingReported.Swap(true) {
 		return
 	}
 	leavingreplica := api.LeavingReplica{Replica: replica.Instance.Name, Incarnation: replica.Instance.Incarnation}
--- a/internal/state/view/replica.go
+++ b/internal/state/view/replica.go
@@ -57,6 +57,11 @@
 	// IsLeaving is set once the replica is known to be draining. It is never
 	// reset.
 	IsLeaving atomic.Bool
+	// IsLeavingReported is set once control was told that the replica is leaving.
+	IsLeavingReported atomic.Bool
+	// BackoffUntil is the time until which the replica asked this instance to send
+	// it nothing.
+	BackoffUntil atomic.Int64
 	// EjectedUntil is the time until which the replica is used only if there is no
 	// other, because of its failures.
 	EjectedUntil atomic.Int64
@@ -285,24 +290,3 @@
 func (replicastats *ReplicaStats) IsEjected(now time.Duration) bool {
 	return replicastats.EjectedUntil.Load() > int64(now)
 }
-
-// UsableReplicas returns the replicas that are not leaving and for which isTried
-// returns false. Replicas that are ejected because of failures are returned only
-// if there is no other.
-func UsableReplicas(replicas []*Replica, isTried func(name string) bool) []*Replica {
-	var healthy, ejected []*Replica
-	now := MonotonicNow()
-	for _, replica := range replicas {
-		switch {
-		case replica.Stats.IsLeaving.Load() || isTried(replica.Instance.Name):
-		case replica.Stats.IsEjected(now):
-			ejected = append(ejected, replica)
-		default:
-			healthy = append(healthy, replica)
-		}
-	}
-	if len(healthy) == 0 {
-		return ejected
-	}
-	return healthy
-}
--- a/internal/wire/http/headernames.go
+++ b/internal/wire/http/headernames.go
@@ -25,6 +25,9 @@
 	// Load is the header with the numbers of requests that the replica runs and
 	// queues, and optionally its slots and its slowdown. See decodeLoad.
 	Load string
+	// Leaving is the header that a replica sets in all its answers while it is
+	// draining.
+	Leaving string
 }
 
 // DefaultHeaderNames holds the header names of the project's own form of the
@@ -38,4 +41,5 @@
 	MissingParts:   "Mimosa-Missing-Parts",
 	NotRun:         "Mimosa-Not-Run",
 	Load:           "Mimosa-Replica-Load",
+	Leaving:        headerLeaving,
 }
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -64,8 +64,10 @@
 // Link holds the connections to one replica of the project's own upstream
 // protocol, over HTTP/1.1 or HTTP/2. Its methods may be called concurrently.
 type Link struct {
-	address        string
-	protocol       string
+	address  string
+	protocol string
+	// stats are those of the replica; nil if the link belongs to none.
+	stats          *view.ReplicaStats
 	maxConnections int
 	// lastReceived is the time since view.MonotonicOrigin, in nanoseconds, at which
 	// bytes last arrived.
@@ -81,7 +83,9 @@
 
 // OpenLink returns a link to replica. It is a value for Links.Open.
 func OpenLink(replica *view.Replica, instances int) *Link {
-	return NewLink(replica.Instance.Address, replica.Upstream, instances)
+	link := NewLink(replica.Instance.Address, replica.Upstream, instances)
+	link.stats = replica.Stats
+	return link
 }
 
 // NewLink returns a link to the replica at address. The link opens connections on
@@ -188,6 +192,9 @@
 // Send sends one attempt and reads the complete reply. Its errors are of type
 // *SendError.
 func (link *Link) Send(ctx context.Context, attempt api.Attempt) (api.Reply, error) {
+	if err := checkAcceptsRequests(link.stats); err != nil {
+		return api.Reply{}, &SendError{Step: "send to", Peer: link.address, Cause: err}
+	}
 	var isConnected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) }}
 	request, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), link.address, attempt)
@@ -203,6 +210,7 @@
 	if err != nil {
 		return reply, &SendError{Step: "read reply of", Peer: link.address, MayHaveRun: true, Cause: err}
 	}
+	observeAcceptance(link.stats, reply)
 	if reply.Identity != attempt.Identity {
 		mismatch := errors.Errorf("reply to attempt %q", reply.Identity)
 		return reply, &SendError{Step: "match reply of", Peer: link.address, MayHaveRun: true, Cause: mismatch}
--- a/internal/wire/http/links.go
+++ b/internal/wire/http/links.go
@@ -32,16 +32,19 @@
 	links map[replicaKey]L
 }
 
-// replicaKey identifies one incarnation of a replica.
+// replicaKey identifies one incarnation of a replica. A replica that was not
+// published for a while has other stats than before, and so another link, because a
+// link sends nothing to a replica whose stats say that it is leaving.
 type replicaKey struct {
 	name        string
 	address     string
 	incarnation uint64
+	stats       *view.ReplicaStats
 }
 
 func newReplicaKey(replica *view.Replica) replicaKey {
 	instance := &replica.Instance
-	return replicaKey{name: instance.Name, address: instance.Address, incarnation: instance.Incarnation}
+	return replicaKey{name: instance.Name, address: instance.Address, incarnation: instance.Incarnation, stats: replica.Stats}
 }
 
 // PreconnectHomeReplicas calls Preconnect for each replica of the upstreams for which
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -43,6 +43,7 @@
 	names    *HeaderNames
 	address  string
 	upstream api.Upstream
+	stats    *view.ReplicaStats
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -64,7 +65,7 @@
 // It is a value for Links.Open.
 func RelayLinkOpener(names *HeaderNames) func(*view.Replica, int) *RelayLink {
 	return func(replica *view.Replica, instances int) *RelayLink {
-		relaylink := &RelayLink{names: names, address: replica.Instance.Address, upstream: replica.Upstream}
+		relaylink := &RelayLink{names: names, address: replica.Instance.Address, upstream: replica.Upstream, stats: replica.Stats}
 		relaylink.LimitConnections(instances, false)
 		return relaylink
 	}
@@ -113,13 +114,20 @@
 	if err != nil {
 		return api.Reply{}, &SendError{Step: "connect to", Peer: relaylink.address, Cause: err}
 	}
+	if err := checkAcceptsRequests(relaylink.stats); err != nil {
+		relaylink.release(conn)
+		return api.Reply{}, &SendError{Step: "send to", Peer: relaylink.address, Cause: err}
+	}
 	request := encodeRelayedRequest(relaylink.names, attempt)
 	response, err := conn.exchange(ctx, request)
-	relaylink.release(conn)
+	// The next attempt on the connection must know what the answer says.
+	defer relaylink.release(conn)
 	if err != nil {
 		return api.Reply{}, &SendError{Step: "exchange with", Peer: relaylink.address, MayHaveRun: true, Cause: err}
 	}
-	return decodeRelayedResponse(relaylink.names, attempt, response), nil
+	reply := decodeRelayedResponse(relaylink.names, attempt, response)
+	observeAcceptance(relaylink.stats, reply)
+	return reply, nil
 }
 
 // acquire returns a connection for one request: an idle one, a new one within the
@@ -233,7 +241,7 @@
 	relaylink.mutex.Lock()
 	defer relaylink.mutex.Unlock()
 	isNeeded := relaylink.openCount < min(relaylink.upstream.Slots, relaylink.maxConnections) && !relaylink.isClosed
-	if !isNeeded || relaylink.isPreconnecting {
+	if !isNeeded || relaylink.isPreconnecting || checkAcceptsRequests(relaylink.stats) != nil {
 		return
 	}
 	relaylink.openCount++
--- a/internal/wire/http/relaylink_test.go
+++ b/internal/wire/http/relaylink_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -191,6 +193,156 @@
 	}
 }
 
+// TestRelayLinkAnswerCutAnywhere cuts an answer after each of its bytes, on a new
+// connection and on one that is used again. Only the whole answer may be returned as
+// one; without a length, any body after a whole head is whole.
+func TestRelayLinkAnswerCutAnywhere(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nMimosa-Request: b\r\nMimosa-Signature: s\r\nContent-Type: text/plain\r\n"
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n7\r\nrecords\r\n0\r\nTrailer-A: 1\r\n\r\n"
+	tests := map[string]struct {
+		answer string
+		// wholeFrom is the number of bytes from which on the answer is whole.
+		wholeFrom int
+		isReused  bool
+	}{
+		"with a length, new":     {answer: head + "Content-Length: 7\r\n\r\nrecords", wholeFrom: len(head) + 28},
+		"with a length, reused":  {answer: head + "Content-Length: 7\r\n\r\nrecords", wholeFrom: len(head) + 28, isReused: true},
+		"chunked, new":           {answer: chunked, wholeFrom: len(chunked)},
+		"chunked, reused":        {answer: chunked, wholeFrom: len(chunked), isReused: true},
+		"without a length, new":  {answer: head + "\r\nrecords", wholeFrom: len(head) + 2},
+		"without length, reused": {answer: head + "\r\nrecords", wholeFrom: len(head) + 2, isReused: true},
+		"after an interim head":  {answer: "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + head + "\r\nrecords", wholeFrom: len(head) + 39},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			cut := 0
+			replica := startReplica(t, func(_ int, request *http.Request) (string, bool) {
+				if request.Header.Get("Mimosa-Request") == "a" {
+					return answerFor("a", "first"), false
+				}
+				return test.answer[:cut], true
+			})
+			for cut = range len(test.answer) + 1 {
+				link := replica.link()
+				if test.isReused {
+					_, err := link.Send(t.Context(), newAttempt("a"))
+					assert.NilError(t, err)
+				}
+				reply, err := link.Send(t.Context(), newAttempt("b"))
+				for len(replica.requests) > 0 {
+					<-replica.requests
+				}
+				isWhole := err == nil && reply.Status == api.ReplyDone
+				assert.Equal(t, isWhole, cut >= test.wholeFrom, "cut after %d bytes: %v", cut, err)
+			}
+		})
+	}
+}
+
+// TestRelayLinkNotAccepting checks that nothing more is sent to a replica after an
+// answer which says that it is leaving or wants to be left alone for a time: neither
+// by attempts that already wait for the connection, nor on connections opened ahead.
+func TestRelayLinkNotAccepting(t *testing.T) {
+	tests := map[string]struct {
+		answer   string
+		wantWait time.Duration
+		// isAccepting is set if the replica still takes requests.
+		isAccepting bool
+	}{
+		"a usual answer":               {answer: answerFor("a", "x"), isAccepting: true},
+		"a wait in seconds":            {answer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Request: a\r\nMimosa-Not-Run: 1\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n", wantWait: 2500 * time.Millisecond},
+		"a wait without a not-run":     {answer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Request: a\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", wantWait: 2 * time.Second},
+		"a wait with another status":   {answer: "HTTP/1.1 500 Internal Server Error\r\nMimosa-Request: a\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", isAccepting: true},
+		"a refusal that says no wait":  {answer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Request: a\r\nMimosa-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", isAccepting: true},
+		"a success that says leaving":  {answer: "HTTP/1.1 200 OK\r\nMimosa-Request: a\r\nMimosa-Signature: s\r\nMimosa-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
+		"a refusal that says leaving":  {answer: "HTTP/1.1 503 Service Unavailable\r\nMimosa-Request: a\r\nMimosa-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
+		"a redirect that says leaving": {answer: "HTTP/1.1 421 Misdirected Request\r\nMimosa-Request: a\r\nMimosa-Leaving: 1\r\nContent-Length: 0\r\n\r\n"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			isSecondSent := make(chan struct{})
+			replica := startReplica(t, func(_ int, request *http.Request) (string, bool) {
+				if identity := request.Header.Get("Mimosa-Request"); identity != "a" {
+					return answerFor(identity, "x"), false
+				}
+				<-isSecondSent
+				return test.answer, false
+			})
+			link := replica.link()
+			waiting := &waitingAttempt{link: link, result: make(chan error, 1)}
+			firstReply := &waitingAttempt{link: link, result: make(chan error, 1), identity: "a"}
+			go firstReply.run()
+			<-replica.requests
+			go waiting.run()
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				link.mutex.Lock()
+				defer link.mutex.Unlock()
+				if link.waiters.Len() == 0 {
+					return poll.Continue("the second attempt does not wait yet")
+				}
+				return poll.Success()
+			}, poll.WithDelay(time.Millisecond))
+			close(isSecondSent)
+			assert.NilError(t, <-firstReply.result)
+			err := <-waiting.result
+			assert.Equal(t, err == nil, test.isAccepting)
+			assert.Equal(t, errors.Is(err, ErrNotAccepting), !test.isAccepting)
+			if test.isAccepting {
+				return
+			}
+			var senderror *SendError
+			assert.Assert(t, asSendError(err, &senderror) && !senderror.MayHaveRun)
+			assert.Equal(t, replica.count.Load(), int64(1))
+			wait := link.stats.BackoffLeft(view.MonotonicNow())
+			assert.Assert(t, wait <= test.wantWait && wait >= test.wantWait-time.Second)
+			link.Preconnect()
+			assert.Assert(t, !link.isPreconnecting)
+		})
+	}
+}
+
+// waitingAttempt sends one attempt, b by default, and reports its error.
+type waitingAttempt struct {
+	link     *RelayLink
+	identity string
+	result   chan error
+}
+
+func (waitingattempt *waitingAttempt) run() {
+	identity := cmp.Or(waitingattempt.identity, "b")
+	_, err := waitingattempt.link.Send(context.Background(), newAttempt(identity))
+	waitingattempt.result <- err
+}
+
+// TestParseRetryAfter checks which waits a header states.
+func TestParseRetryAfter(t *testing.T) {
+	now := time.Date(2026, 12, 5, 9, 0, 0, 0, time.UTC)
+	tests := map[string]struct {
+		header string
+		want   time.Duration
+	}{
+		"missing":               {},
+		"whole seconds":         {header: "3", want: 3 * time.Second},
+		"decimals":              {header: " 0.25 ", want: 250 * time.Millisecond},
+		"a date":                {header: "Sat, 05 Dec 2026 09:00:07 GMT", want: 7 * time.Second},
+		"a date that is past":   {header: "Sat, 05 Dec 2026 08:00:00 GMT"},
+		"zero":                  {header: "0"},
+		"negative":              {header: "-3"},
+		"not a number":          {header: "NaN"},
+		"infinite":              {header: "Inf"},
+		"words":                 {header: "soon"},
+		"beyond all time":       {header: "9223372036854775807000", want: view.NeverAvailable},
+		"hexadecimal":           {header: "0x10"},
+		"two values":            {header: "1, 2"},
+		"digits without an end": {header: strings.Repeat("9", 400), want: 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, parseRetryAfter(test.header, now), test.want)
+		})
+	}
+}
+
 // asSendError sets target to err if err is a *SendError, and reports whether it is.
 func asSendError(err error, target **SendError) bool {
 	senderror, isSendError := err.(*SendError)
--- a/internal/wire/http/upstream.go
+++ b/internal/wire/http/upstream.go
@@ -155,6 +155,7 @@
 		Identity:      header.Get(headerAttempt),
 		HeldSnapshots: decodeSnapshots(header.Get(headerHeldSnapshots)),
 		IsLeaving:     header.Get(headerLeaving) != "",
+		RetryAfter:    retryAfterOf(code, header),
 		Body:          body,
 	}
 	load, err := strconv.Atoi(header.Get(headerLoad))
