process/instance: a stopping instance refuses what may outlast its stop

A command that arrived late in the stop was sent to a replica and cancelled at the end of the drain, with an unknown outcome. It is now refused before it is sent, with 503, Connection: close and a Retry-After, if its time reaches beyond the drain; an idempotent request if less than two target latencies are left, and its deadline ends with the drain.

TestRequestsLateInTheStop before: 200 for the command in a stop of 0.8 s against a timeout of 4 s, 503 now; the merged request is served before and after.

--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -65,8 +65,10 @@
 	adapter    Adapter
 	// inFlight is the number of requests from callers that are being served.
 	inFlight atomic.Int64
-	// isStopping is set from the beginning of Stop.
+	// isStopping is set from the beginning of Stop. drainEnd is then when the
+	// requests that are still in flight are cancelled.
 	isStopping atomic.Bool
+	drainEnd   atomic.Pointer[time.Time]
 	// callerServer is set by listen. The other servers stay nil if their address is
 	// not configured.
 	callerServer    *server
@@ -245,6 +247,7 @@
 		serveQuery:    queries.serveRelayed,
 		serveCommand:  instance.newCommandRelay().Serve,
 		requestLog:    instance.requestLog,
+		drainEnd:      instance.drainEnd.Load,
 	}
 	instance.serve(queries, commandcaller.NewHandler(home, router, instance.metrics), relay)
 	return nil
--- a/internal/process/instance/relay.go
+++ b/internal/process/instance/relay.go
@@ -37,6 +37,8 @@
 	serveQuery    serveCall
 	serveCommand  serveCall
 	requestLog    *requestLog
+	// drainEnd returns when a stopping instance cancels its requests, or nil.
+	drainEnd func() *time.Time
 }
 
 // ServeHTTP answers one request of a caller.
@@ -64,7 +66,7 @@
 	call.Deadline = start.Add(requestTimeout(scope.Scope, relayedRequest))
 	call.Trace = trace.New(start)
 	call.Trace.Add(trace.RequestRouted, "", "", scope.Scope.Name)
-	answer := relay.answer(request.Context(), call)
+	answer := relay.answerBefore(request.Context(), call, relay.drainEnd())
 	if request.Context().Err() != nil {
 		call.Trace.Add(trace.CallerDisconnected, "", "", "")
 	}
@@ -74,6 +76,44 @@
 	relay.requestLog.logAnswer(call, answer)
 }
 
+const (
+	// stoppingRetryAfter is the wait that a stopping instance asks of the callers
+	// that it refuses. The other instances can serve them at once.
+	stoppingRetryAfter = 10 * time.Millisecond
+	// drainTargets is how many times the target latency of an idempotent request
+	// must be left until the end of the drain for the request to be taken.
+	drainTargets = 2
+)
+
+// answerBefore answers call, or refuses it if the instance stops and the answer may
+// not be ready at drainEnd. A nil drainEnd is never reached.
+func (relay *relay) answerBefore(ctx context.Context, call view.Call, drainEnd *time.Time) api.Answer {
+	if drainEnd == nil {
+		return relay.answer(ctx, call)
+	}
+	end := drainEnd.Add(-answerMargin)
+	if call.Start.Add(longestRun(call)).After(end) {
+		reason := "the instance stops"
+		call.Trace.Add(trace.RequestRefused, "", "", reason)
+		return api.Answer{Outcome: api.OutcomeNotRun, Reason: reason, RetryAfter: stoppingRetryAfter, IsProvenNotRun: true}
+	}
+	if end.Before(call.Deadline) {
+		call.Deadline = end
+	}
+	return relay.answer(ctx, call)
+}
+
+// longestRun returns how long a call may run. A command may take all of its time,
+// because its outcome would be unknown if it was cancelled.
+func longestRun(call view.Call) time.Duration {
+	timeout := call.Deadline.Sub(call.Start)
+	targetLatency := call.Scope.Scope.TargetLatency.Duration
+	if call.Scope.Scope.IsCommand || targetLatency <= 0 {
+		return timeout
+	}
+	return min(timeout, drainTargets*targetLatency)
+}
+
 // answer runs call on the command side or the query side of its scope.
 func (relay *relay) answer(ctx context.Context, call view.Call) api.Answer {
 	if call.Scope.Scope.IsCommand {
--- a/internal/process/instance/relay_test.go
+++ b/internal/process/instance/relay_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -201,6 +202,10 @@
 		"one leaves":              {faultsA: upstream.Faults{IsLeaving: true}, wantCodes: []int{http.StatusOK}},
 		"both fail after the run": {faultsA: upstream.Faults{FailAll: true}, faultsB: upstream.Faults{FailAll: true}, wantCodes: []int{http.StatusInternalServerError}},
 		"one truncates":           {faultsA: upstream.Faults{Truncate: true}},
+		"one cuts its heads":      {faultsA: upstream.Faults{CutHead: true}, wantCodes: []int{http.StatusOK, http.StatusBadGateway}},
+		"one asks to wait":        {faultsA: upstream.Faults{RetryAfter: time.Minute}, wantCodes: []int{http.StatusOK}},
+		"one says it leaves":      {faultsA: upstream.Faults{AnnounceLeaving: true}, wantCodes: []int{http.StatusOK}},
+		"both ask to wait":        {faultsA: upstream.Faults{RetryAfter: time.Minute}, faultsB: upstream.Faults{RetryAfter: time.Minute}, wantCodes: []int{http.StatusServiceUnavailable}},
 		"both hang":               {faultsA: hangFaults, faultsB: hangFaults, wantCodes: []int{http.StatusGatewayTimeout, http.StatusInternalServerError, http.StatusServiceUnavailable}},
 		"one killed":              {killA: true, wantCodes: []int{http.StatusOK}},
 		"one killed, one hangs":   {killA: true, faultsB: hangFaults, wantCodes: []int{http.StatusGatewayTimeout, http.StatusInternalServerError, http.StatusServiceUnavailable}},
@@ -326,6 +331,100 @@
 	})
 }
 
+// TestReplicasThatWantNothing sends requests one after the other while replicas ask
+// for none, by leaving or for a time. It checks that a replica gets one request at
+// most of each instance after it has said so, and that a request which cannot be
+// served is refused at once, with the time after which it can.
+func TestReplicasThatWantNothing(t *testing.T) {
+	waitFaults := upstream.Faults{RetryAfter: 20 * time.Second}
+	leavingFaults := upstream.Faults{AnnounceLeaving: true}
+	tests := map[string]struct {
+		faults upstream.Faults
+		// faultyReplicas have the faults; path is what the requests ask for.
+		faultyReplicas []string
+		path           string
+		// isRefused is set if the requests after the first few are refused.
+		isRefused bool
+	}{
+		"one of two waits, idempotent":     {faults: waitFaults, faultyReplicas: []string{"ledger-a"}, path: "/read/x"},
+		"both wait, idempotent":            {faults: waitFaults, faultyReplicas: []string{"ledger-a", "ledger-b"}, path: "/read/x", isRefused: true},
+		"both wait, commands":              {faults: waitFaults, faultyReplicas: []string{"ledger-a", "ledger-b"}, path: "/book/x", isRefused: true},
+		"one of two leaves, idempotent":    {faults: leavingFaults, faultyReplicas: []string{"ledger-a"}, path: "/read/x"},
+		"one of two leaves, commands":      {faults: leavingFaults, faultyReplicas: []string{"ledger-a"}, path: "/book/x"},
+		"one replica of each shard leaves": {faults: leavingFaults, faultyReplicas: []string{"desk-01-a", "desk-02-a"}, path: "/burn/x"},
+		"one replica of each shard waits":  {faults: waitFaults, faultyReplicas: []string{"desk-01-a", "desk-02-a"}, path: "/burn/x"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runningTrial := startRelayTrial(t, 2)
+			for _, name := range test.faultyReplicas {
+				assert.Assert(t, runningTrial.Fleets[0].ServerByName[name] != nil, "no replica %s", name)
+				runningTrial.Fleets[0].ServerByName[name].Replica.SetFaults(test.faults)
+			}
+			for number := range 40 {
+				request := relayedRequest{identity: fmt.Sprintf("w-%d", number), method: http.MethodGet, path: test.path, deadline: time.Second}
+				start := time.Now()
+				response, _ := request.send(t.Context(), runningTrial, number%2)
+				if !test.isRefused {
+					assert.Equal(t, response.StatusCode, http.StatusOK)
+					continue
+				}
+				assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+				if number >= 8 {
+					wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+					assert.NilError(t, err)
+					assert.Assert(t, wait > 10 && wait <= 20, "Retry-After: %v", wait)
+					assert.Assert(t, time.Since(start) < 100*time.Millisecond, "a request that cannot be served waited")
+				}
+			}
+			for _, name := range test.faultyReplicas {
+				received := runningTrial.Fleets[0].ServerByName[name].Replica.Counts().ReceivedRequests
+				assert.Assert(t, received <= int64(len(runningTrial.Instances)), "%s received %d requests", name, received)
+			}
+		})
+	}
+}
+
+// TestRequestsLateInTheStop sends requests on a kept connection while the instance
+// stops. A command whose outcome may still be unknown when the stop ends must be
+// refused before it is sent; an idempotent request that will be ready is served.
+func TestRequestsLateInTheStop(t *testing.T) {
+	tests := map[string]struct {
+		path     string
+		wantCode int
+		wantRuns int
+	}{
+		"a command that may outlast the stop": {path: "/book/x", wantCode: http.StatusServiceUnavailable},
+		"a merged request":                    {path: "/burn/x", wantCode: http.StatusOK, wantRuns: 4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			runningTrial := startRelayTrial(t, 2)
+			client := &http.Client{Transport: &http.Transport{}}
+			defer client.CloseIdleConnections()
+			send := func(identity, path string) *http.Response {
+				request, err := relayedRequest{identity: identity, method: http.MethodGet, path: path, deadline: 4 * time.Second}.encode(t.Context(), runningTrial.Instances[0].CallerAddress)
+				assert.NilError(t, err)
+				response, err := client.Do(request)
+				assert.NilError(t, err)
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+				return response
+			}
+			assert.Equal(t, send("before", "/book/x").StatusCode, http.StatusOK)
+			var stop sync.WaitGroup
+			stop.Go(func() { runningTrial.Instances[0].Stop(t.Context()) })
+			time.Sleep(100 * time.Millisecond)
+			response := send("late", test.path)
+			assert.Equal(t, response.StatusCode, test.wantCode)
+			assert.Assert(t, response.Close, "the connection must not be used again")
+			assert.Equal(t, response.Header.Get("Retry-After") != "", test.wantCode == http.StatusServiceUnavailable)
+			stop.Wait()
+			assert.Equal(t, relayedRuns(runningTrial, "late"), test.wantRuns)
+		})
+	}
+}
+
 // TestRelayedStop stops an instance while requests are in flight that outlast its
 // drain timeout, and while more arrive. It checks that every request that ran at a
 // replica is answered.
--- a/internal/process/instance/stop.go
+++ b/internal/process/instance/stop.go
@@ -31,13 +31,15 @@
 // have arrived so far. When ctx ends, Stop skips the remaining waits, but still
 // attempts the handover, for at most handoverTimeout per candidate.
 func (instance *Instance) Stop(ctx context.Context) {
-	instance.isStopping.Store(true)
-	instance.logger.Info("instance is leaving")
-	_ = instance.control.Mailbox.Send(ctx, message.ShutdownStarted{})
 	leaveTime := instance.settings.Shutdown.LeaveTime.Duration
 	if leaveTime == 0 {
 		leaveTime = instance.settings.Callers.KeepTime.Duration
 	}
+	drainEnd := time.Now().Add(leaveTime + instance.settings.Shutdown.DrainTimeout.Duration)
+	instance.drainEnd.Store(&drainEnd)
+	instance.isStopping.Store(true)
+	instance.logger.Info("instance is leaving", zap.Time("drainEnd", drainEnd))
+	_ = instance.control.Mailbox.Send(ctx, message.ShutdownStarted{})
 	wait(ctx, leaveTime)
 	instance.drain(ctx)
 	successor := instance.handOver()
--- a/internal/process/instance/unconfigured_test.go
+++ b/internal/process/instance/unconfigured_test.go
@@ -57,6 +57,7 @@
 				metrics:       metrics.New(),
 				serveQuery:    func(context.Context, view.Call) api.Answer { return answered },
 				requestLog:    newRequestLog(log.Discard().Part(log.PartCaller)),
+				drainEnd:      func() *time.Time { return nil },
 			}
 			recorder := httptest.NewRecorder()
 			request := httptest.NewRequest(http.MethodGet, "/burn/r1", nil)
