command/control, command/peer: changes cross the borders of failure domains a few times

One change, in three parts: gossip spreads on three rings within a domain and, among three links of each domain, on two rings between domains, while a ring of all members is only probed; a document that is being read is not read again from another neighbour, unless the first one fails; messages of 4 KB or more between peers are compressed.

--- a/internal/command/control/roles.go
+++ b/internal/command/control/roles.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -13,27 +14,84 @@
 	// fullMeshMembers is the largest number of members with which all are
 	// neighbours of one another.
 	fullMeshMembers = 9
-	// neighbourRings is the number of hash rings in a larger fleet. On each ring,
-	// a member's neighbours are the next and the previous one.
-	neighbourRings = 4
+	// domainRings is the number of hash rings of a failure domain. On each ring, a
+	// member's neighbours are the next and the previous one.
+	domainRings = 3
+	// linksPerDomain is the number of members of each failure domain that exchange
+	// gossip with other domains.
+	linksPerDomain = 3
+	// linkRings is the number of hash rings of all links.
+	linkRings = 2
+	// fleetRing is the number of the ring of all members.
+	fleetRing = domainRings + linkRings
 )
 
-// Neighbours returns the sorted names of the members that self probes and sends
-// gossip to. Two instances that know the same members agree on whether they are
-// neighbours of each other.
-func Neighbours(members map[string]api.Member, self string) []string {
-	var names []string
+// Neighbourhood holds the sorted names of the members that a member probes, and of
+// those that it sends gossip to, which it probes too.
+type Neighbourhood struct {
+	Probed []string
+	Gossip []string
+}
+
+// Neighbours returns the neighbourhood of self. Two instances that know the same
+// members agree on whether they are neighbours of each other.
+//
+// In a small fleet all members are neighbours. In a larger one, gossip spreads on
+// the rings of each failure domain, and between domains only among a few links, so
+// that a change crosses a border a few times rather than once for each member. The
+// ring of all members, which is only probed, detects that whole domains fail, and
+// that gossip has not arrived.
+func Neighbours(members map[string]api.Member, self string) Neighbourhood {
+	var names, ownDomain []string
+	domains := make(map[string][]string)
 	for name, member := range members {
 		isReachable := member.State == api.MemberAlive || member.State == api.MemberSuspect || member.State == api.MemberLeaving
-		if isReachable || name == self {
-			names = append(names, name)
+		if !isReachable && name != self {
+			continue
 		}
+		names = append(names, name)
+		domain := member.Instance.FailureDomain
+		domains[domain] = append(domains[domain], name)
 	}
 	if len(names) <= fullMeshMembers {
 		slices.Sort(names)
-		return slices.DeleteFunc(names, func(name string) bool { return name == self })
+		names = slices.DeleteFunc(names, func(name string) bool { return name == self })
+		return Neighbourhood{Probed: names, Gossip: names}
+	}
+	ownDomain = domains[members[self].Instance.FailureDomain]
+	gossip := make(map[string]bool)
+	addRingNeighbours(gossip, ownDomain, self, 0, domainRings)
+	if links := linkMembers(domains); len(domains) > 1 && slices.Contains(links, self) {
+		addRingNeighbours(gossip, links, self, domainRings, linkRings)
+	}
+	probed := maps.Clone(gossip)
+	addRingNeighbours(probed, names, self, fleetRing, 1)
+	return Neighbourhood{Probed: slices.Sorted(maps.Keys(probed)), Gossip: slices.Sorted(maps.Keys(gossip))}
+}
+
+// linkMembers returns the links of all failure domains, which map to the names of
+// their members: in each domain those that rank first by rendezvous hashing.
+func linkMembers(domains map[string][]string) []string {
+	var links []string
+	for _, names := range domains {
+		var first []ringEntry
+		for _, name := range names {
+			candidate := ringEntry{name: name, position: xxhash.Sum64String("link/" + name)}
+			index, _ := slices.BinarySearchFunc(first, candidate, compareRingEntries)
+			if index < linksPerDomain {
+				first = slices.Insert(first, index, candidate)
+				first = first[:min(len(first), linksPerDomain)]
+			}
+		}
+		for _, link := range first {
+			links = append(links, link.name)
+		}
 	}
-	return ringNeighbours(names, self)
+	return links
+}
+
+func compareRingEntries(a, b ringEntry) int {
+	return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.name, b.name))
 }
 
 // ring finds self's neighbours on one hash ring: the members next to self's
@@ -50,26 +108,22 @@
 	position uint64
 }
 
-// ringNeighbours returns the sorted names of self's neighbours on all rings.
-func ringNeighbours(names []string, self string) []string {
-	var rings [neighbourRings]ring
-	for number := range rings {
-		rings[number].ownPosition = ringPosition(number, self)
-	}
-	for _, name := range names {
-		if name == self {
-			continue
+// addRingNeighbours adds to neighbours those of self on count rings of the named
+// members, of which the first has the given number.
+func addRingNeighbours(neighbours map[string]bool, names []string, self string, first, count int) {
+	for number := first; number < first+count; number++ {
+		ring := ring{ownPosition: ringPosition(number, self)}
+		for _, name := range names {
+			if name != self {
+				ring.insert(ringEntry{name: name, position: ringPosition(number, name)})
+			}
 		}
-		for number := range rings {
-			rings[number].insert(ringEntry{name: name, position: ringPosition(number, name)})
+		for _, neighbour := range []ringEntry{orDefault(ring.next, ring.first), orDefault(ring.previous, ring.last)} {
+			if neighbour.name != "" {
+				neighbours[neighbour.name] = true
+			}
 		}
 	}
-	neighbours := make(map[string]bool)
-	for _, ring := range rings {
-		neighbours[orDefault(ring.next, ring.first).name] = true
-		neighbours[orDefault(ring.previous, ring.last).name] = true
-	}
-	return slices.Sorted(maps.Keys(neighbours))
 }
 
 // insert adds a member to the ring, in any order.
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -103,7 +103,7 @@
 type roles struct {
 	stoppedHomes []view.Timestamped[api.StoppedHome]
 	endedAt      map[string]time.Time
-	neighbours   []string
+	neighbours   Neighbourhood
 	isReader     bool
 	digest       uint64
 }
--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,37 +15,114 @@
 )
 
 // receiveGossip sends gossip to control, and starts to read from its sender the
-// documents that are newer than those known here.
+// documents that are newer than those known here, unless they are being read from
+// another neighbour.
 func (peers *Peers) receiveGossip(ctx context.Context, gossip api.Gossip) {
 	current := peers.currentView.Load()
-	var outdated []string
-	for _, key := range gossip.Keys {
-		known := max(current.DocumentsInForce[key.Key].Revision, current.RefusedDocuments[key.Key].Revision)
-		if key.Revision > known {
-			outdated = append(outdated, key.Key)
+	reader := &documentReader{peers: peers, address: gossip.From}
+	for _, keyrevision := range gossip.Keys {
+		known := max(current.DocumentsInForce[keyrevision.Key].Revision, current.RefusedDocuments[keyrevision.Key].Revision)
+		if keyrevision.Revision <= known || gossip.From == "" {
+			continue
+		}
+		if pending := peers.beginRead(keyrevision, gossip.From); pending != nil {
+			reader.keys = append(reader.keys, keyrevision.Key)
+			reader.pending = append(reader.pending, pending)
 		}
 	}
 	_ = peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip})
-	if len(outdated) > 0 && gossip.From != "" {
-		documentreader := &documentReader{peers: peers, address: gossip.From, keys: outdated}
-		go documentreader.run()
+	if len(reader.keys) > 0 {
+		go reader.run()
+	}
+}
+
+// pendingRead is the read of one document from a peer.
+type pendingRead struct {
+	// revision is the revision that was announced.
+	revision uint64
+	// startedAt is when the read began. For callTimeout the document is not read
+	// again, since it may be on its way into a View.
+	startedAt time.Time
+	// otherSource is the address of the last other peer that announced the same
+	// revision or a newer one; nil if none did.
+	otherSource atomic.Pointer[string]
+}
+
+// beginRead returns the read of the announced document from the peer at address, if
+// the caller should start it. If the document is being read from another peer,
+// beginRead remembers the address in case that read fails, and returns nil.
+func (peers *Peers) beginRead(keyrevision api.KeyRevision, address string) *pendingRead {
+	started := &pendingRead{revision: keyrevision.Revision, startedAt: time.Now()}
+	stored, isPending := peers.pendingReads.LoadOrStore(keyrevision.Key, started)
+	if !isPending {
+		return started
 	}
+	pending := stored.(*pendingRead)
+	if pending.revision >= keyrevision.Revision && time.Since(pending.startedAt) < callTimeout {
+		pending.otherSource.Store(&address)
+		return nil
+	}
+	if !peers.pendingReads.CompareAndSwap(keyrevision.Key, pending, started) {
+		return nil
+	}
+	return started
+}
+
+// deleteOldReads deletes the pending reads that began more than callTimeout ago.
+func (peers *Peers) deleteOldReads() {
+	peers.pendingReads.Range(func(key, pending any) bool {
+		if time.Since(pending.(*pendingRead).startedAt) > callTimeout {
+			peers.pendingReads.CompareAndDelete(key, pending)
+		}
+		return true
+	})
 }
 
 // documentReader reads documents from a peer whose gossip announced them.
 type documentReader struct {
 	peers   *Peers
 	address string
+	// keys and pending hold the keys of the documents and the reads of them.
 	keys    []string
+	pending []*pendingRead
 }
 
+// run reads the documents. If the peer does not answer, it reads them once more
+// from another one that announced them.
 func (documentreader *documentReader) run() {
-	reply, err := documentreader.peers.call(documentreader.address, api.PeerRequest{ReadKeys: documentreader.keys})
-	if err != nil {
-		documentreader.peers.logger.Debug("documents not read from peer; a sync will make up for it", zap.Error(err))
+	err := documentreader.read(documentreader.address)
+	if other := documentreader.otherSource(); err != nil && other != "" {
+		documentreader.peers.logger.Debug("documents not read from peer; trying another one", zap.Error(err))
+		err = documentreader.read(other)
+	}
+	if err == nil {
 		return
 	}
+	documentreader.peers.logger.Debug("documents not read from peer; a sync will make up for it", zap.Error(err))
+	for index, key := range documentreader.keys {
+		documentreader.peers.pendingReads.CompareAndDelete(key, documentreader.pending[index])
+	}
+}
+
+// read reads the documents from the peer at address.
+func (documentreader *documentReader) read(address string) error {
+	reply, err := documentreader.peers.call(address, api.PeerRequest{ReadKeys: documentreader.keys})
+	if err != nil {
+		return err
+	}
 	documentreader.peers.receiveDocuments(documentreader.peers.ctx, reply.Documents)
+	return nil
+}
+
+// otherSource returns the address of another peer that announced one of the
+// documents, or "" if none did.
+func (documentreader *documentReader) otherSource() string {
+	for _, pending := range documentreader.pending {
+		if address := pending.otherSource.Load(); address != nil {
+			return *address
+		}
+	}
+	return ""
 }
 
 // receiveDocuments sends documents to control in the order in which they came. A
--- a/internal/command/peer/joiner.go
+++ b/internal/command/peer/joiner.go
@@ -19,7 +19,11 @@
 
 // joiner regularly starts a sync with an instance that may be running but that this
 // instance has no contact with.
-type joiner struct{ peers *Peers }
+type joiner struct {
+	peers *Peers
+	// count is the number of joins so far.
+	count int
+}
 
 func (joiner *joiner) run() {
 	timer := time.NewTimer(0)
@@ -45,13 +49,22 @@
 
 // join starts a sync with a random join candidate. An instance that is not
 // configured also syncs with its neighbours: gossip alone does not show whether the
-// documents that it brought are all there are.
+// documents that it brought are all there are. It prefers those in its own failure
+// domain every second time, since such a sync transfers the whole configuration.
 func (joiner *joiner) join() {
 	current := joiner.peers.currentView.Load()
 	candidates := JoinCandidates(current, joiner.peers.seeds)
+	joiner.count++
 	if !current.IsConfigured {
+		var local []string
 		for _, member := range joiner.peers.neighbours() {
 			candidates = append(candidates, member.Instance.PeerAddress)
+			if member.Instance.FailureDomain == current.Self.Instance.FailureDomain {
+				local = append(local, member.Instance.PeerAddress)
+			}
+		}
+		if len(local) > 0 && joiner.count%2 == 0 {
+			candidates = local
 		}
 	}
 	if len(candidates) == 0 {
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -83,6 +83,9 @@
 	// from those of this instance.
 	differingSince sync.Map
 	ownDigests     digestTracker
+	// pendingReads holds, by key, the *pendingRead of a document that is being read
+	// from a peer.
+	pendingReads sync.Map
 	// lastContacts holds, by the name of a peer, when its last probe or
 	// acknowledgement came.
 	lastContacts sync.Map
@@ -186,16 +189,18 @@
 	}
 }
 
-// sendToNeighbours sends gossip to every neighbour, without waiting for replies.
+// sendToNeighbours sends gossip to every neighbour that gets it, without waiting for replies.
 func (peers *Peers) sendToNeighbours(gossip api.Gossip) {
-	gossip.From = peers.currentView.Load().Self.Instance.PeerAddress
-	for _, member := range peers.neighbours() {
+	current := peers.currentView.Load()
+	gossip.From = current.Self.Instance.PeerAddress
+	for _, name := range current.GossipNeighbours {
+		member := current.Members[name]
 		gossipsender := &gossipSender{peers: peers, address: member.Instance.PeerAddress, gossip: gossip}
 		go gossipsender.run()
 	}
 }
 
-// neighbours returns the members that this instance probes and sends gossip to.
+// neighbours returns the members that this instance probes.
 func (peers *Peers) neighbours() []api.Member {
 	current := peers.currentView.Load()
 	members := make([]api.Member, 0, len(current.Neighbours))
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -48,6 +48,7 @@
 	deleteOlder(&prober.peers.lastContacts, maxTimeAge)
 	deleteOlder(&prober.peers.syncTimes, maxTimeAge)
 	deleteOlder(&prober.peers.differingSince, maxTimeAge)
+	prober.peers.deleteOldReads()
 	for _, member := range members {
 		if prober.peers.hasRecentContact(member.Instance.Name) {
 			continue
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -35,9 +35,10 @@
 	// received, by key.
 	DocumentsInForce map[string]api.Document
 	RefusedDocuments map[string]api.Document
-	// Neighbours names the members that this instance probes and sends changes
-	// to.
+	// Neighbours names the members that this instance probes.
 	Neighbours []string
+	// GossipNeighbours names the members that this instance sends changes to.
+	GossipNeighbours []string
 	// Homes holds the homes of the shards of merged scopes: the members that
 	// keep the connections to a shard's replicas.
 	Homes map[ShardKey]DomainHomes
--- a/internal/wire/cbor/cbor.go
+++ b/internal/wire/cbor/cbor.go
@@ -41,19 +41,30 @@
 	return message, errors.Wrap(err, "decode peer message")
 }
 
-// Read reads reader to its end and decodes the bytes as one message. More than
-// MaxMessageBytes are an error.
+// Read reads reader to its end and decodes the bytes as one message, which Marshal
+// or MarshalLong encoded. More than MaxMessageBytes are an error.
 func Read[M any](reader io.Reader) (M, error) {
+	var zero M
+	encoded, err := readMessage(reader)
+	if err != nil {
+		return zero, err
+	}
+	if encoded, err = inflateMessage(encoded); err != nil {
+		return zero, err
+	}
+	return Unmarshal[M](encoded)
+}
+
+// readMessage reads reader to its end. More than MaxMessageBytes are an error.
+func readMessage(reader io.Reader) ([]byte, error) {
 	encoded, err := io.ReadAll(io.LimitReader(reader, MaxMessageBytes+1))
 	if err != nil {
-		var zero M
-		return zero, errors.Wrap(err, "read peer message")
+		return nil, errors.Wrap(err, "read peer message")
 	}
 	if len(encoded) > MaxMessageBytes {
-		var zero M
-		return zero, errors.Errorf("peer message exceeds %d bytes", MaxMessageBytes)
+		return nil, errors.Errorf("peer message exceeds %d bytes", MaxMessageBytes)
 	}
-	return Unmarshal[M](encoded)
+	return encoded, nil
 }
 
 // Sequence decodes a CBOR sequence: messages that directly follow one another.
--- a/internal/wire/cbor/compress.go
+++ b/internal/wire/cbor/compress.go
@@ -20,19 +20,28 @@
 	if len(document.Value) < minCompressedBytes {
 		return document, nil
 	}
+	compressed, err := deflate(document.Value)
+	if err != nil {
+		return document, errors.Wrap(err, "compress document "+document.Key)
+	}
+	document.Compressed, document.Value = compressed, nil
+	return document, nil
+}
+
+// deflate returns plain as a DEFLATE stream.
+func deflate(plain []byte) ([]byte, error) {
 	var compressed bytes.Buffer
 	writer, err := flate.NewWriter(&compressed, flate.BestSpeed)
 	if err != nil {
-		return document, errors.Wrap(err, "compress document "+document.Key)
+		return nil, err
 	}
-	if _, err := writer.Write(document.Value); err != nil {
-		return document, errors.Wrap(err, "compress document "+document.Key)
+	if _, err := writer.Write(plain); err != nil {
+		return nil, err
 	}
 	if err := writer.Close(); err != nil {
-		return document, errors.Wrap(err, "compress document "+document.Key)
+		return nil, err
 	}
-	document.Compressed, document.Value = compressed.Bytes(), nil
-	return document, nil
+	return compressed.Bytes(), nil
 }
 
 // DecompressDocument restores the value of a document that CompressDocument
@@ -53,3 +62,38 @@
 	document.Value, document.Compressed = value, nil
 	return document, nil
 }
+
+// minCompressedMessageBytes is the length of the shortest message that MarshalLong
+// compresses. The lists of members and documents are longer, queries are shorter.
+const minCompressedMessageBytes = 4 << 10
+
+// byteStringType is the major type of a CBOR byte string in the first three bits of
+// its first byte. Messages are maps.
+const byteStringType = 2 << 5
+
+// MarshalLong encodes a message that may be long, for Read. A long one is encoded as
+// a byte string that holds the message as a DEFLATE stream.
+func MarshalLong[M any](message M) ([]byte, error) {
+	encoded, err := Marshal(message)
+	if err != nil || len(encoded) < minCompressedMessageBytes {
+		return encoded, err
+	}
+	compressed, err := deflate(encoded)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress peer message")
+	}
+	return Marshal(compressed)
+}
+
+// inflateMessage returns the encoded message that MarshalLong compressed, and any
+// other one unchanged. A message of more than MaxMessageBytes is an error.
+func inflateMessage(encoded []byte) ([]byte, error) {
+	if len(encoded) == 0 || encoded[0]&(7<<5) != byteStringType {
+		return encoded, nil
+	}
+	compressed, err := Unmarshal[[]byte](encoded)
+	if err != nil {
+		return nil, err
+	}
+	return readMessage(flate.NewReader(bytes.NewReader(compressed)))
+}
--- a/internal/wire/cbor/compress_test.go
+++ b/internal/wire/cbor/compress_test.go
@@ -1,6 +1,8 @@
 package cbor_test
 
 import (
+	"bytes"
+	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -28,6 +30,45 @@
 	})
 }
 
+// TestMarshalLong checks that messages of any length are read as they were, and that
+// the documents of many replicas take a fraction of their length.
+func TestMarshalLong(t *testing.T) {
+	tests := map[string]struct {
+		documents int
+		// maxBytes is the length within which the message must be encoded.
+		maxBytes int
+	}{
+		"no document":   {documents: 0, maxBytes: 16},
+		"one document":  {documents: 1, maxBytes: 300},
+		"300 documents": {documents: 300, maxBytes: 12_000},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			var reply api.PeerReply
+			for number := range test.documents {
+				value := fmt.Sprintf(`{"service":"s%d","address":"10.128.0.%d:8080","zone":"muscat-a","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"sequence":%d,"born":17806906%05d}`, number/2, number%250, number*7, number*311)
+				reply.Documents = append(reply.Documents, api.Document{Key: fmt.Sprintf("servers/i-%08x", number*2_654_435), Revision: uint64(number + 100), Value: []byte(value)})
+			}
+			encoded, err := cbor.MarshalLong(reply)
+			assert.NilError(t, err)
+			assert.Assert(t, len(encoded) <= test.maxBytes, "%d bytes", len(encoded))
+			decoded, err := cbor.Read[api.PeerReply](bytes.NewReader(encoded))
+			assert.NilError(t, err)
+			assert.DeepEqual(t, decoded, reply)
+		})
+	}
+}
+
+// TestReadCompressedMessageBounded checks that a short message that decompresses to
+// more than the longest one is an error.
+func TestReadCompressedMessageBounded(t *testing.T) {
+	encoded, err := cbor.MarshalLong(api.PeerRequest{Command: &api.Command{Body: make([]byte, cbor.MaxMessageBytes)}})
+	assert.NilError(t, err)
+	assert.Assert(t, len(encoded) < 1<<20)
+	_, err = cbor.Read[api.PeerRequest](bytes.NewReader(encoded))
+	assert.ErrorContains(t, err, "exceeds")
+}
+
 // FuzzDecompressDocument checks that no input decompresses to more than the
 // largest allowed document.
 func FuzzDecompressDocument(f *testing.F) {
--- a/internal/wire/cbor/fuzz_test.go
+++ b/internal/wire/cbor/fuzz_test.go
@@ -17,6 +17,9 @@
 	assert.NilError(f, err)
 	f.Add(seed)
 	f.Add([]byte{0xa1, 0x01, 0x9f})
+	long, err := cbor.MarshalLong(api.PeerRequest{Command: &api.Command{Scope: "a", Body: make([]byte, 8<<10)}})
+	assert.NilError(f, err)
+	f.Add(long)
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		request, err := cbor.Read[api.PeerRequest](bytes.NewReader(encoded))
 		if err != nil {
--- a/internal/wire/quic/endpoint.go
+++ b/internal/wire/quic/endpoint.go
@@ -248,7 +248,7 @@
 // openStream sends call to the peer at address on a new stream and closes the
 // sending side. The reply can then be read from the returned stream.
 func (endpoint *Endpoint) openStream(ctx context.Context, address string, call api.PeerRequest) (*quic.Stream, error) {
-	encoded, err := cbor.Marshal(call)
+	encoded, err := cbor.MarshalLong(call)
 	if err != nil {
 		return nil, &CallError{Step: "encode call to", Peer: address, Cause: err}
 	}
--- a/internal/wire/quic/session.go
+++ b/internal/wire/quic/session.go
@@ -69,7 +69,7 @@
 		return
 	}
 	reply := incomingcall.endpoint.handler.AnswerCall(incomingcall.stream.Context(), call)
-	encoded, err := cbor.Marshal(reply)
+	encoded, err := cbor.MarshalLong(reply)
 	if err != nil {
 		incomingcall.stream.CancelWrite(1)
 		return
