command/control: an instance serves and is a home once it knows the others

Cause: an instance that has just started knows itself alone, so it assigned itself all shards as their home, and opened two connections to each replica. 95 instances that restart together open 190 to each replica, which accepts 70: 28,819 resets and 653 answers 502 or 504 in the first seconds after a final fault.

An instance is settled once it has all members of a settled peer, has learned of no further one for 300 ms, or after 1.5 s. Before that it has no homes, opens no connections ahead, is not ready, and refuses requests with 503 and a Retry-After. An instance without seeds is settled at once.

--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -31,6 +31,7 @@
 	return &view.View{
 		Number:             state.viewNumber,
 		IsConfigured:       state.IsConfigured,
+		IsSettled:          state.IsSettled,
 		Self:               state.Self,
 		Members:            members,
 		ListedInstances:    configuration.listedInstances,
@@ -96,6 +97,9 @@
 
 // buildHomes assigns the homes again if the input of the assignment has changed.
 func buildHomes(state *State, members map[string]api.Member) {
+	if !state.IsSettled {
+		return
+	}
 	shards := mergedShards(state.configuration.scopes)
 	inputHash := hashHomesInput(members, shards)
 	if state.homes != nil && inputHash == state.homesInputHash {
--- a/internal/command/control/membership.go
+++ b/internal/command/control/membership.go
@@ -47,6 +47,9 @@
 	if isKnown && !Supersedes(update, known.Member) || isExpired {
 		return Effects{}
 	}
+	if !isKnown {
+		state.memberJoinedAt = now
+	}
 	update.AgeSeconds = 0
 	update.Load = known.Load
 	state.Members[update.Instance.Name] = Member{Member: update, LearnedAt: learnedAt}
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -43,6 +43,12 @@
 	// IsConfigured is set once the documents of the whole configuration have been
 	// received. Until then, an unknown scope or route may only not have arrived.
 	IsConfigured bool
+	// IsSettled is set once this instance can be expected to know the other
+	// instances. It is never reset.
+	IsSettled bool
+	// startedAt is when this instance started, and memberJoinedAt when it last
+	// learned of an instance that it did not know.
+	startedAt, memberJoinedAt time.Time
 	// RefusedDocuments holds, by key, the newest invalid document that is newer
 	// than the one in force.
 	RefusedDocuments map[string]api.DecodedDocument
@@ -128,6 +134,9 @@
 		Self:             self,
 		SuspicionTimeout: suspicionTimeout,
 
+		startedAt:      now,
+		memberJoinedAt: now,
+
 		ReadersPerFailureDomain: defaultReaders,
 
 		DocumentsInForce: make(map[string]api.DecodedDocument),
@@ -152,6 +161,8 @@
 		return applyDocument(state, received.Decoded)
 	case message.ConfigurationReceived:
 		return applyConfigurationReceived(state)
+	case message.MembersReceived:
+		return settle(state)
 	case message.PlatformAnswered:
 		return applyPlatformAnswered(state, received.AnsweredAt)
 	case message.StaleAnswerReceived:
@@ -278,6 +289,37 @@
 	return Effects{RebuildConfiguration: true}
 }
 
+const (
+	// settleTime is how long no unknown instance must have been learned of for this
+	// instance to count as knowing all. Instances that start at the same time learn
+	// of each other in waves that are closer together.
+	settleTime = 300 * time.Millisecond
+	// maxSettleTime is the longest time that an instance takes to settle.
+	maxSettleTime = 1500 * time.Millisecond
+)
+
+// settleInTime settles the instance if it has not learned of another one for
+// settleTime, or after maxSettleTime.
+func settleInTime(state *State, now time.Time) Effects {
+	isDue := now.Sub(state.memberJoinedAt) >= settleTime && len(state.Members) > 1
+	if state.IsSettled || !isDue && now.Sub(state.startedAt) < maxSettleTime {
+		return Effects{}
+	}
+	return settle(state)
+}
+
+// settle records that the instance knows the others. Homes are assigned from then
+// on: homes of an instance that knows only itself would be itself for all shards,
+// and many instances that start together would open more connections to the replicas
+// than these accept.
+func settle(state *State) Effects {
+	if state.IsSettled {
+		return Effects{}
+	}
+	state.IsSettled = true
+	return Effects{RebuildConfiguration: true, RebuildRoles: true}
+}
+
 // applyPlatformAnswered records the time of an answer of the platform, if it is the
 // latest one known.
 func applyPlatformAnswered(state *State, at time.Time) Effects {
@@ -332,7 +374,8 @@
 	if gap > view.PauseThreshold {
 		return applyPause(state, gap)
 	}
-	effects := failExpiredSuspects(state, now)
+	effects := settleInTime(state, now)
+	effects.merge(failExpiredSuspects(state, now))
 	effects.merge(applyDueRemovals(state, now))
 	effects.merge(applyObservedLeaving(state, now))
 	effects.merge(deleteExpired(state, now))
--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -197,7 +197,7 @@
 	inForce := revisionsByKey(request.RevisionsInForce)
 	refused := revisionsByKey(request.RefusedRevisions)
 	now := time.Now()
-	reply := &api.SyncReply{IsConfigured: current.IsConfigured}
+	reply := &api.SyncReply{IsConfigured: current.IsConfigured, IsSettled: current.IsSettled}
 	for _, timestamped := range current.LeavingReplicas {
 		timestamped.Value.AgeSeconds = ageSeconds(timestamped.LearnedAt, now)
 		reply.LeavingReplicas = append(reply.LeavingReplicas, timestamped.Value)
@@ -259,7 +259,10 @@
 		}
 	}
 	gossip := api.Gossip{Members: reply.Sync.Members, LeavingReplicas: reply.Sync.LeavingReplicas, StoppedHomes: reply.Sync.StoppedHomes}
-	return peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip})
+	if err := peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip}); err != nil || !reply.Sync.IsSettled {
+		return err
+	}
+	return peers.mailbox.Send(ctx, message.MembersReceived{})
 }
 
 // syncer runs one sync with one peer.
--- a/internal/command/upstream/sender.go
+++ b/internal/command/upstream/sender.go
@@ -49,8 +49,8 @@
 // that the previous attempt did not run.
 func (sender *Sender) Send(ctx context.Context, command api.Command) api.Result {
 	current := sender.currentView.Current(ctx)
-	if !current.IsConfigured {
-		return api.Result{Outcome: api.OutcomeNotRun, Reason: api.ReasonUnconfigured, RetryAfter: api.UnconfiguredRetryAfter}
+	if reason := current.UnreadyReason(); reason != "" {
+		return api.Result{Outcome: api.OutcomeNotRun, Reason: reason, RetryAfter: api.UnreadyRetryAfter}
 	}
 	shard, err := FindShard(current, command)
 	if err != nil {
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -179,6 +179,8 @@
 		state.ShardsPerHome = control.HomesDisabled
 	}
 	state.ReadersPerFailureDomain = instance.settings.Reading.ReadersPerFailureDomain
+	// Without a seed, there is no other instance to learn of but those that join.
+	state.IsSettled = len(instance.settings.Seeds) == 0
 	instance.control = control.New(state, instance.loggers.Part(log.PartControl))
 	instance.peers, err = peer.Listen(peer.Config{
 		Settings:      instance.settings,
@@ -328,7 +330,7 @@
 // has routes and is not stopping.
 func (instance *Instance) isReady() bool {
 	current := instance.View()
-	return !instance.isStopping.Load() && current.IsConfigured && current.Routes != nil
+	return !instance.isStopping.Load() && current.UnreadyReason() == "" && current.Routes != nil
 }
 
 // memberCount returns the number of instances that share the retry budget: all
--- a/internal/process/instance/relay.go
+++ b/internal/process/instance/relay.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -50,8 +51,9 @@
 		return
 	}
 	current := relay.publishedView.Current(request.Context())
-	if !current.IsConfigured || current.Routes == nil {
-		wire.WriteRelayedRefusal(writer, http.StatusServiceUnavailable, api.ReasonUnconfigured, api.UnconfiguredRetryAfter)
+	if reason := current.UnreadyReason(); reason != "" || current.Routes == nil {
+		reason = cmp.Or(reason, api.ReasonUnconfigured)
+		wire.WriteRelayedRefusal(writer, http.StatusServiceUnavailable, reason, api.UnreadyRetryAfter)
 		return
 	}
 	routeTarget, isKnown := current.Routes.Find(relayedRequest.Host, relayedRequest.Path)
--- a/internal/query/caller/handler.go
+++ b/internal/query/caller/handler.go
@@ -41,8 +41,8 @@
 		return
 	}
 	current := handler.CurrentView.Current(httpRequest.Context())
-	if !current.IsConfigured {
-		wire.WriteRefusal(writer, http.StatusServiceUnavailable, api.ReasonUnconfigured, api.UnconfiguredRetryAfter)
+	if reason := current.UnreadyReason(); reason != "" {
+		wire.WriteRefusal(writer, http.StatusServiceUnavailable, reason, api.UnreadyRetryAfter)
 		return
 	}
 	request, err := NewRequest(current, query, start)
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -170,7 +170,7 @@
 			aliveMembers++
 		}
 	}
-	return view.IsConfigured && aliveMembers == len(trial.Instances) && len(view.Scopes) >= trial.scopeCount()
+	return view.UnreadyReason() == "" && aliveMembers == len(trial.Instances) && len(view.Scopes) >= trial.scopeCount()
 }
 
 // scopeCount returns the number of scopes of all plans.
--- a/internal/state/api/caller.go
+++ b/internal/state/api/caller.go
@@ -24,11 +24,13 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
-// The refusal of a request by an instance that has not received the whole
-// configuration yet and cannot tell an unknown scope from one that it lacks.
+// The refusals of a request by an instance that has just started: it has not
+// received the whole configuration yet and cannot tell an unknown scope from one that
+// it lacks, or it does not know the other instances yet.
 const (
-	ReasonUnconfigured     = "no configuration yet"
-	UnconfiguredRetryAfter = 300 * time.Millisecond
+	ReasonUnconfigured = "no configuration yet"
+	ReasonUnsettled    = "the other instances are not known yet"
+	UnreadyRetryAfter  = 300 * time.Millisecond
 )
 
 // Query is an idempotent request that is sent to every selected shard.
--- a/internal/state/api/peer.go
+++ b/internal/state/api/peer.go
@@ -120,6 +120,8 @@
 	// IsConfigured is set if the replying peer has the complete configuration, so
 	// that the requesting one has it too once it has applied the documents.
 	IsConfigured bool `cbor:"5,keyasint,omitempty"`
+	// IsSettled is set if the replying peer can be expected to know all members.
+	IsSettled bool `cbor:"6,keyasint,omitempty"`
 }
 
 // KeyedResult is the outcome of a command with an idempotency key, as its home
--- a/internal/state/message/message.go
+++ b/internal/state/message/message.go
@@ -23,6 +23,9 @@
 // configured peer, had when it was asked has been sent as DocumentReceived.
 type ConfigurationReceived struct{}
 
+// MembersReceived reports that a settled peer sent all members that it knows.
+type MembersReceived struct{}
+
 // PlatformAnswered reports that the platform answered a request at the given
 // time.
 type PlatformAnswered struct {
@@ -85,6 +88,7 @@
 
 func (DocumentReceived) message()         {}
 func (ConfigurationReceived) message()    {}
+func (MembersReceived) message()          {}
 func (PlatformAnswered) message()         {}
 func (StaleAnswerReceived) message()      {}
 func (GossipReceived) message()           {}
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -16,7 +16,10 @@
 	// IsConfigured is set once the instance has received the whole configuration.
 	// Before that, a scope or route that the View lacks may exist.
 	IsConfigured bool
-	Self         api.Member
+	// IsSettled is set once the instance can be expected to know the others. Before
+	// that there are no homes.
+	IsSettled bool
+	Self      api.Member
 	// Members holds all known instances of the system by name.
 	Members map[string]api.Member
 	Indexes map[string]Index
