wire/http, process/instance: an instance that does not know the others yet serves directly

What overloads the replicas after a start are the connections opened ahead by homes that are homes of everything, not the few requests. An unsettled instance now serves directly, over one connection to each replica, and still is no home.

--- a/internal/state/api/caller.go
+++ b/internal/state/api/caller.go
@@ -24,12 +24,10 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
-// The refusals of a request by an instance that has just started: it has not
-// received the whole configuration yet and cannot tell an unknown scope from one that
-// it lacks, or it does not know the other instances yet.
+// The refusal of a request by an instance that has not received the whole
+// configuration yet and cannot tell an unknown scope from one that it lacks.
 const (
 	ReasonUnconfigured = "no configuration yet"
-	ReasonUnsettled    = "the other instances are not known yet"
 	UnreadyRetryAfter  = 300 * time.Millisecond
 )
 
--- a/internal/wire/http/links.go
+++ b/internal/wire/http/links.go
@@ -89,7 +89,8 @@
 // ApplyView closes the links to replicas that are not in current, and updates the
 // connection limits of the others. The connections to a replica whose upstream
 // has homes are shared among at most maxConcurrentHomes instances, those to other
-// replicas among all members.
+// replicas among all members. An instance that is not settled gets a single
+// connection to each replica.
 func (links *Links[L]) ApplyView(current *view.View) {
 	currentReplicas := make(map[replicaKey]*view.Replica, len(current.Replicas))
 	for _, replica := range current.Replicas {
@@ -109,6 +110,7 @@
 		if hasHomes {
 			instances = min(instances, maxConcurrentHomes)
 		}
-		link.LimitConnections(instances, !hasHomes || isHome)
+		// Before the instance knows the others, it cannot know its share.
+		link.LimitConnections(instances, current.IsSettled && !hasHomes || isHome)
 	}
 }
