standin/model: an offline bound beside each load

OfflineBound computes, from the scenario's seed, what a scheduler that knows arrivals, pauses and noise in advance could earn at most: shards apart, a shard's slots as one server of their speed, work of the mean.

The bound is loose where a query lacks all parts at once; a tighter one would join the shards by the least coverage.

Each load now also checks that no play earns more than its bound.

--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -189,9 +189,11 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				result := model.Simulate(test.newScenario(test.faults...), newChoice, upstream.TargetHedge{}, caller.NewRankAdmission)
-				ratio := result.ValueRatio(3, 10)
-				t.Logf("value ratio %.3f of %.3f during the faults\n%s", ratio, test.possibleRatio, result.Plot())
+				scenario := test.newScenario(test.faults...)
+				result := model.Simulate(scenario, newChoice, upstream.TargetHedge{}, caller.NewRankAdmission)
+				ratio, bound := result.ValueRatio(3, 10), scenario.OfflineBound(3, 10)
+				t.Logf("value ratio %.3f of %.3f, offline bound %.3f during the faults\n%s", ratio, test.possibleRatio, bound, result.Plot())
+				assert.Assert(t, ratio <= bound, "value ratio %.3f above the offline bound %.3f", ratio, bound)
 				assert.Assert(t, ratio >= 0.9*test.possibleRatio, "value ratio %.3f of %.3f", ratio, test.possibleRatio)
 			})
 		})
--- a/internal/standin/model/replica.go
+++ b/internal/standin/model/replica.go
@@ -98,12 +98,16 @@
 	arrivals int
 }
 
-// behavior returns the behavior of the replica at present. The first fault that
-// affects the replica decides.
+// behavior returns the behavior of the replica at present.
 func (replica *replica) behavior() Behavior {
-	now := time.Since(replica.fleet.startTime)
+	return replica.behaviorAt(time.Since(replica.fleet.startTime))
+}
+
+// behaviorAt returns the behavior of the replica at a time after the start. The first
+// fault that affects the replica decides.
+func (replica *replica) behaviorAt(at time.Duration) Behavior {
 	for _, fault := range replica.fleet.scenario.Faults {
-		isActive := now >= fault.Start && now < fault.Start+fault.Duration
+		isActive := at >= fault.Start && at < fault.Start+fault.Duration
 		if isActive && fault.Affects(replica.shardNumber, replica.replicaNumber) {
 			return fault.Behavior
 		}
--- a/internal/standin/model/simulation.go
+++ b/internal/standin/model/simulation.go
@@ -239,11 +239,7 @@
 func (simulation *simulation[C, H, A]) run(fleet *fleet) {
 	for {
 		now := time.Since(fleet.startTime)
-		rate := simulation.scenario.Rate
-		if simulation.scenario.RatePeriod > 0 {
-			rate *= 1 + simulation.scenario.RateAmplitude*math.Sin(2*math.Pi*float64(now)/float64(simulation.scenario.RatePeriod))
-		}
-		time.Sleep(time.Duration(fleet.random.ExpFloat64() / rate * float64(time.Second)))
+		time.Sleep(time.Duration(fleet.random.ExpFloat64() / simulation.scenario.rateAt(now) * float64(time.Second)))
 		now = time.Since(fleet.startTime)
 		if now >= simulation.scenario.Duration {
 			break
@@ -251,25 +247,33 @@
 		home := simulation.homes[fleet.random.IntN(len(simulation.homes))]
 		home.fanout.CurrentView.Tick()
 		simulation.queries.Add(1)
-		query := &query[C, H, A]{simulation: simulation, home: home, kind: simulation.drawKind(fleet.random), secondIndex: int(now / time.Second)}
+		query := &query[C, H, A]{simulation: simulation, home: home, kind: simulation.scenario.drawKind(fleet.random), secondIndex: int(now / time.Second)}
 		go query.run()
 	}
 	simulation.queries.Wait()
 }
 
+// rateAt returns the number of queries a second at the given time after the start.
+func (scenario Scenario) rateAt(at time.Duration) float64 {
+	if scenario.RatePeriod <= 0 {
+		return scenario.Rate
+	}
+	return scenario.Rate * (1 + scenario.RateAmplitude*math.Sin(2*math.Pi*float64(at)/float64(scenario.RatePeriod)))
+}
+
 // drawKind draws a kind by weight.
-func (simulation *simulation[C, H, A]) drawKind(random *rand.Rand) Kind {
+func (scenario Scenario) drawKind(random *rand.Rand) Kind {
 	total := 0.0
-	for _, kind := range simulation.scenario.Kinds {
+	for _, kind := range scenario.Kinds {
 		total += kind.Weight
 	}
 	draw := random.Float64() * total
-	for _, kind := range simulation.scenario.Kinds {
+	for _, kind := range scenario.Kinds {
 		if draw -= kind.Weight; draw < 0 {
 			return kind
 		}
 	}
-	return simulation.scenario.Kinds[0]
+	return scenario.Kinds[0]
 }
 
 // query is one query of a simulation.
