--- a/internal/command/control/outdated_test.go
+++ b/internal/command/control/outdated_test.go
@@ -159,13 +159,7 @@
 // stays out of use, if its entry is removed and registered again, although the
 // report about it was dropped.
 func TestDroppedLeavingReport(t *testing.T) {
-	state := newState("a")
-	upstreams := api.DecodedDocument{
-		Document:  api.Document{Key: "upstreams/all", Revision: 1},
-		Upstreams: &api.Upstreams{Upstreams: []api.Upstream{{Name: "upstream", Slots: 1, ConnectionLimit: 1}}},
-	}
-	control.Apply(state, message.DocumentReceived{Decoded: upstreams}, start)
-	control.Apply(state, message.DocumentReceived{Decoded: entry(5, 1, api.InstanceLive)}, start)
+	state := stateWithReplica()
 	control.Build(state, control.RebuildAll).Replicas["replica"].Stats.IsLeaving.Store(true)
 	effects := control.Apply(state, message.Ticked{}, start)
 	assert.DeepEqual(t, effects.Gossip.LeavingReplicas, []api.LeavingReplica{{Replica: "replica", Incarnation: 1}})
@@ -189,6 +183,18 @@
 	assert.Assert(t, control.Supersedes(effects.Gossip.Members[0], predecessor))
 }
 
+// stateWithReplica returns a state in which one replica is in force.
+func stateWithReplica() *control.State {
+	state := newState("a")
+	upstreams := api.DecodedDocument{
+		Document:  api.Document{Key: "upstreams/all", Revision: 1},
+		Upstreams: &api.Upstreams{Upstreams: []api.Upstream{{Name: "upstream", Slots: 1, ConnectionLimit: 1}}},
+	}
+	control.Apply(state, message.DocumentReceived{Decoded: upstreams}, start)
+	control.Apply(state, message.DocumentReceived{Decoded: entry(5, 1, api.InstanceLive)}, start)
+	return state
+}
+
 // TestRetiredReplicasTakeNoWork checks that requests which still use an older View
 // see that a replica is leaving, was removed or was replaced by another process.
 func TestRetiredReplicasTakeNoWork(t *testing.T) {
@@ -203,13 +209,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			state := newState("a")
-			upstreams := api.DecodedDocument{
-				Document:  api.Document{Key: "upstreams/all", Revision: 1},
-				Upstreams: &api.Upstreams{Upstreams: []api.Upstream{{Name: "upstream", Slots: 1, ConnectionLimit: 1}}},
-			}
-			control.Apply(state, message.DocumentReceived{Decoded: upstreams}, start)
-			control.Apply(state, message.DocumentReceived{Decoded: entry(5, 1, api.InstanceLive)}, start)
+			state := stateWithReplica()
 			oldReplica := control.Build(state, control.RebuildAll).Replicas["replica"]
 			control.Apply(state, message.DocumentReceived{Decoded: test.next}, start)
 			control.Build(state, control.RebuildAll)
--- a/internal/command/control/roles.go
+++ b/internal/command/control/roles.go
@@ -22,7 +22,8 @@
 	linksPerDomain = 3
 	// linkRings is the number of hash rings of all links.
 	linkRings = 2
-	// fleetRing is the number of the ring of all members.
+	// fleetRing is the number of the ring of all members, after those of the domains and
+	// of the links.
 	fleetRing = domainRings + linkRings
 )
 
@@ -42,7 +43,7 @@
 // ring of all members, which is only probed, detects that whole domains fail, and
 // that gossip has not arrived.
 func Neighbours(members map[string]api.Member, self string) Neighbourhood {
-	var names, ownDomain []string
+	var names []string
 	domains := make(map[string][]string)
 	for name, member := range members {
 		isReachable := member.State == api.MemberAlive || member.State == api.MemberSuspect || member.State == api.MemberLeaving
@@ -58,9 +59,8 @@
 		names = slices.DeleteFunc(names, func(name string) bool { return name == self })
 		return Neighbourhood{Probed: names, Gossip: names}
 	}
-	ownDomain = domains[members[self].Instance.FailureDomain]
 	gossip := make(map[string]bool)
-	addRingNeighbours(gossip, ownDomain, self, 0, domainRings)
+	addRingNeighbours(gossip, domains[members[self].Instance.FailureDomain], self, 0, domainRings)
 	if links := linkMembers(domains); len(domains) > 1 && slices.Contains(links, self) {
 		addRingNeighbours(gossip, links, self, domainRings, linkRings)
 	}
--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -19,20 +19,20 @@
 // another neighbour.
 func (peers *Peers) receiveGossip(ctx context.Context, gossip api.Gossip) {
 	current := peers.currentView.Load()
-	reader := &documentReader{peers: peers, address: gossip.From}
+	documentreader := &documentReader{peers: peers, address: gossip.From}
 	for _, keyrevision := range gossip.Keys {
 		known := max(current.DocumentsInForce[keyrevision.Key].Revision, current.RefusedDocuments[keyrevision.Key].Revision)
 		if keyrevision.Revision <= known || gossip.From == "" {
 			continue
 		}
-		if pending := peers.beginRead(keyrevision, gossip.From); pending != nil {
-			reader.keys = append(reader.keys, keyrevision.Key)
-			reader.pending = append(reader.pending, pending)
+		if pendingread := peers.beginRead(keyrevision, gossip.From); pendingread != nil {
+			documentreader.keys = append(documentreader.keys, keyrevision.Key)
+			documentreader.pendingReads = append(documentreader.pendingReads, pendingread)
 		}
 	}
 	_ = peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip})
-	if len(reader.keys) > 0 {
-		go reader.run()
+	if len(documentreader.keys) > 0 {
+		go documentreader.run()
 	}
 }
 
@@ -57,12 +57,12 @@
 	if !isPending {
 		return started
 	}
-	pending := stored.(*pendingRead)
-	if pending.revision >= keyrevision.Revision && time.Since(pending.startedAt) < callTimeout {
-		pending.otherSource.Store(&address)
+	pendingread := stored.(*pendingRead)
+	if pendingread.revision >= keyrevision.Revision && time.Since(pendingread.startedAt) < callTimeout {
+		pendingread.otherSource.Store(&address)
 		return nil
 	}
-	if !peers.pendingReads.CompareAndSwap(keyrevision.Key, pending, started) {
+	if !peers.pendingReads.CompareAndSwap(keyrevision.Key, pendingread, started) {
 		return nil
 	}
 	return started
@@ -70,9 +70,9 @@
 
 // deleteOldReads deletes the pending reads that began more than callTimeout ago.
 func (peers *Peers) deleteOldReads() {
-	peers.pendingReads.Range(func(key, pending any) bool {
-		if time.Since(pending.(*pendingRead).startedAt) > callTimeout {
-			peers.pendingReads.CompareAndDelete(key, pending)
+	peers.pendingReads.Range(func(key, stored any) bool {
+		if time.Since(stored.(*pendingRead).startedAt) > callTimeout {
+			peers.pendingReads.CompareAndDelete(key, stored)
 		}
 		return true
 	})
@@ -82,9 +82,9 @@
 type documentReader struct {
 	peers   *Peers
 	address string
-	// keys and pending hold the keys of the documents and the reads of them.
-	keys    []string
-	pending []*pendingRead
+	// keys and pendingReads hold the keys of the documents and the reads of them.
+	keys         []string
+	pendingReads []*pendingRead
 }
 
 // run reads the documents. If the peer does not answer, it reads them once more
@@ -100,7 +100,7 @@
 	}
 	documentreader.peers.logger.Debug("documents not read from peer; a sync will make up for it", zap.Error(err))
 	for index, key := range documentreader.keys {
-		documentreader.peers.pendingReads.CompareAndDelete(key, documentreader.pending[index])
+		documentreader.peers.pendingReads.CompareAndDelete(key, documentreader.pendingReads[index])
 	}
 }
 
@@ -117,8 +117,8 @@
 // otherSource returns the address of another peer that announced one of the
 // documents, or "" if none did.
 func (documentreader *documentReader) otherSource() string {
-	for _, pending := range documentreader.pending {
-		if address := pending.otherSource.Load(); address != nil {
+	for _, pendingread := range documentreader.pendingReads {
+		if address := pendingread.otherSource.Load(); address != nil {
 			return *address
 		}
 	}
--- a/internal/command/peer/gossip_test.go
+++ b/internal/command/peer/gossip_test.go
@@ -36,18 +36,18 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				peers := &Peers{}
-				reader := &documentReader{peers: peers}
+				documentreader := &documentReader{peers: peers}
 				var reads []string
 				for _, announcement := range test.announcements {
 					time.Sleep(announcement.after)
-					pending := peers.beginRead(api.KeyRevision{Key: "servers/i-1", Revision: announcement.revision}, announcement.address)
-					if pending != nil {
+					pendingread := peers.beginRead(api.KeyRevision{Key: "servers/i-1", Revision: announcement.revision}, announcement.address)
+					if pendingread != nil {
 						reads = append(reads, announcement.address)
-						reader.pending = append(reader.pending, pending)
+						documentreader.pendingReads = append(documentreader.pendingReads, pendingread)
 					}
 				}
 				assert.DeepEqual(t, reads, test.wantReads)
-				assert.Equal(t, reader.otherSource(), test.wantOther)
+				assert.Equal(t, documentreader.otherSource(), test.wantOther)
 				time.Sleep(callTimeout + time.Millisecond)
 				peers.deleteOldReads()
 				_, isKept := peers.pendingReads.Load("servers/i-1")
--- a/internal/standin/model/bound.go
+++ b/internal/standin/model/bound.go
@@ -14,28 +14,29 @@
 // a scheduler could earn that knows all arrivals, pauses and noise in advance. It
 // depends on the seed alone, also for the noise, which a simulation draws anew.
 //
-// The bound relaxes the problem in each respect that makes it hard. Shards are
-// independent, so that a query may lack one part without lacking another, and earns in
-// proportion to its parts; the slots of a shard are one server, which divides its
-// speed at will and takes no time to reach; work is the mean of its kind; and queries
-// that were sent before the first second take nothing.
+// The bound relaxes what makes the problem hard. Shards are independent, so that a
+// query may lack one part without lacking another, and earns in proportion to its
+// parts; the slots of a shard are one server, which divides its speed at will and takes
+// no time to reach; and queries that were sent before the first second take nothing.
+// Work is the mean of its kind: what could be earned by choosing the parts that happen
+// to be short is left out, the one respect in which the bound is not an upper one.
 func (scenario Scenario) OfflineBound(startSecond, endSecond int) float64 {
 	fleet := newFleet(scenario)
-	queries := scenario.arrivals(fleet.random, time.Duration(startSecond)*time.Second, time.Duration(endSecond)*time.Second)
+	arrivals := scenario.arrivals(fleet.random, time.Duration(startSecond)*time.Second, time.Duration(endSecond)*time.Second)
 	random := rand.New(rand.NewPCG(scenario.Seed, 1))
 	lateShare, possible, earned := 0.0, 0.0, 0.0
 	for _, kind := range scenario.Kinds {
 		lateShare = max(lateShare, kind.LateValueShare)
 	}
-	for _, query := range queries {
-		possible += query.kind.Value
+	for _, arrival := range arrivals {
+		possible += arrival.kind.Value
 	}
 	for _, shard := range fleet.shards {
 		var replicas []*replica
 		for _, listed := range shard.Replicas {
 			replicas = append(replicas, fleet.replicas[listed.Instance.Name])
 		}
-		earned += valueInTime(queries, scenario.speeds(replicas, random))
+		earned += valueInTime(arrivals, scenario.speeds(replicas, random))
 	}
 	inTime := earned / float64(scenario.ShardCount) / possible
 	return lateShare + (1-lateShare)*inTime
@@ -52,16 +53,16 @@
 // arrivals returns the queries that a simulation whose random draws have come as far
 // sends from start until end.
 func (scenario Scenario) arrivals(random *rand.Rand, start, end time.Duration) []arrival {
-	var queries []arrival
+	var arrivals []arrival
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() / scenario.rateAt(at) * float64(time.Second))
 		if at >= min(scenario.Duration, end) {
-			return queries
+			return arrivals
 		}
 		random.IntN(len(scenario.FailureDomains))
 		kind := scenario.drawKind(random)
 		if at >= start {
-			queries = append(queries, arrival{kind: kind, at: at, due: at + kind.TargetLatency})
+			arrivals = append(arrivals, arrival{kind: kind, at: at, due: at + kind.TargetLatency})
 		}
 	}
 }
@@ -98,18 +99,18 @@
 // Work that is worth more is never given up for other work, since the sets of work
 // that can be done in time form a matroid: each kind adds its worth for the work that
 // can be done with it beyond what can be done without it.
-func valueInTime(queries []arrival, speeds []float64) float64 {
+func valueInTime(arrivals []arrival, speeds []float64) float64 {
 	density := func(kind Kind) float64 { return kind.Value / float64(kind.MeanWork) }
 	var kinds []Kind
-	for _, query := range queries {
-		if !slices.Contains(kinds, query.kind) {
-			kinds = append(kinds, query.kind)
+	for _, arrival := range arrivals {
+		if !slices.Contains(kinds, arrival.kind) {
+			kinds = append(kinds, arrival.kind)
 		}
 	}
 	slices.SortFunc(kinds, func(a, b Kind) int { return int(math.Copysign(1, density(b)-density(a))) })
 	value, done := 0.0, 0.0
 	for count := range kinds {
-		total := workInTime(queries, kinds[:count+1], speeds)
+		total := workInTime(arrivals, kinds[:count+1], speeds)
 		value += (total - done) * density(kinds[count])
 		done = total
 	}
@@ -118,7 +119,7 @@
 
 // workInTime returns the most work on queries of the given kinds that a server of the
 // given speeds can do in time. Serving the work that is due first does the most.
-func workInTime(queries []arrival, kinds []Kind, speeds []float64) float64 {
+func workInTime(arrivals []arrival, kinds []Kind, speeds []float64) float64 {
 	type job struct {
 		due  time.Duration
 		left float64
@@ -127,12 +128,12 @@
 	next, done := 0, 0.0
 	for index, speed := range speeds {
 		now := time.Duration(index) * boundStep
-		for ; next < len(queries) && queries[next].at <= now; next++ {
-			query := queries[next]
-			if !slices.Contains(kinds, query.kind) {
+		for ; next < len(arrivals) && arrivals[next].at <= now; next++ {
+			arrival := arrivals[next]
+			if !slices.Contains(kinds, arrival.kind) {
 				continue
 			}
-			added := job{due: query.due, left: float64(query.kind.MeanWork)}
+			added := job{due: arrival.due, left: float64(arrival.kind.MeanWork)}
 			position, _ := slices.BinarySearchFunc(waiting, added, func(a, b job) int { return int(a.due - b.due) })
 			waiting = slices.Insert(waiting, position, added)
 		}
