--- a/internal/command/peer/gossip_test.go
+++ b/internal/command/peer/gossip_test.go
@@ -40,7 +40,7 @@
 				var reads []string
 				for _, announcement := range test.announcements {
 					time.Sleep(announcement.after)
-					pendingread := peers.beginRead(api.KeyRevision{Key: "servers/i-1", Revision: announcement.revision}, announcement.address)
+					pendingread := peers.beginRead(api.KeyRevision{Key: "instances/i-1", Revision: announcement.revision}, announcement.address)
 					if pendingread != nil {
 						reads = append(reads, announcement.address)
 						documentreader.pendingReads = append(documentreader.pendingReads, pendingread)
@@ -50,7 +50,7 @@
 				assert.Equal(t, documentreader.otherSource(), test.wantOther)
 				time.Sleep(callTimeout + time.Millisecond)
 				peers.deleteOldReads()
-				_, isKept := peers.pendingReads.Load("servers/i-1")
+				_, isKept := peers.pendingReads.Load("instances/i-1")
 				assert.Assert(t, !isKept)
 			})
 		})
--- a/internal/wire/cbor/compress_test.go
+++ b/internal/wire/cbor/compress_test.go
@@ -46,8 +46,8 @@
 		t.Run(name, func(t *testing.T) {
 			var reply api.PeerReply
 			for number := range test.documents {
-				value := fmt.Sprintf(`{"service":"s%d","address":"10.128.0.%d:8080","zone":"muscat-a","version":"v1","slots":2,"state":"ready","cold_left_ms":0,"sequence":%d,"born":17806906%05d}`, number/2, number%250, number*7, number*311)
-				reply.Documents = append(reply.Documents, api.Document{Key: fmt.Sprintf("servers/i-%08x", number*2_654_435), Revision: uint64(number + 100), Value: []byte(value)})
+				value := fmt.Sprintf(`{"name":"r%d","address":"10.128.0.%d:8080","failureDomain":"muscat-a","release":"v1","slots":2,"state":"live","load":%d,"startedAt":17806906%05d}`, number/2, number%250, number*7, number*311)
+				reply.Documents = append(reply.Documents, api.Document{Key: fmt.Sprintf("instances/i-%08x", number*2_654_435), Revision: uint64(number + 100), Value: []byte(value)})
 			}
 			encoded, err := cbor.MarshalLong(reply)
 			assert.NilError(t, err)
