--- a/internal/command/control/homes.go
+++ b/internal/command/control/homes.go
@@ -49,8 +49,9 @@
 
 // PreferredDomains returns the failure domains that have homes in the order in which
 // the member named self sends queries to them: its own first. The others start with
-// a different one for each member of a domain, so that they get equal shares of the
-// queries, while each member needs connections to the homes of one of them only.
+// a different one for each member of a domain, so that each member needs connections
+// to the homes of one of them only. The others get equal shares of the queries of a
+// domain without homes; between domains that all have homes the shares may differ.
 func PreferredDomains(members map[string]api.Member, homes map[view.ShardKey]view.DomainHomes, self string) []string {
 	isHomed := make(map[string]bool)
 	for _, domains := range homes {
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -202,9 +202,6 @@
 		if ignored := received.Decoded.IgnoredReason; ignored != "" {
 			reader.logger.Info("document names nothing to use", zap.String("key", document.Key), zap.Uint64("revision", document.Revision), zap.String("reason", ignored))
 		}
-		if refusal := received.Decoded.RefusalReason; refusal != "" {
-			reader.logger.Warn("document refused", zap.String("key", document.Key), zap.Uint64("revision", document.Revision), zap.String("reason", refusal))
-		}
 		if err := reader.mailbox.Send(ctx, received); err != nil {
 			return err
 		}
