wire/http, wire/quic: a link's key holds what identifies it; comments as measured

Stats are shared by the Views of one incarnation only, so that name and incarnation beside them were derived state. Two comments gave bytes as they were before the handshake became smaller.

--- a/internal/wire/http/links.go
+++ b/internal/wire/http/links.go
@@ -32,19 +32,17 @@
 	links map[replicaKey]L
 }
 
-// replicaKey identifies one incarnation of a replica. A replica that was not
-// published for a while has other stats than before, and so another link, because a
-// link sends nothing to a replica whose stats say that it is leaving.
+// replicaKey identifies one incarnation of a replica by its stats, at one address. A
+// replica that was not published for a while has other stats than before, and so
+// another link, because a link sends nothing to a replica whose stats say that it is
+// leaving.
 type replicaKey struct {
-	name        string
-	address     string
-	incarnation uint64
-	stats       *view.ReplicaStats
+	stats   *view.ReplicaStats
+	address string
 }
 
 func newReplicaKey(replica *view.Replica) replicaKey {
-	instance := &replica.Instance
-	return replicaKey{name: instance.Name, address: instance.Address, incarnation: instance.Incarnation, stats: replica.Stats}
+	return replicaKey{stats: replica.Stats, address: replica.Instance.Address}
 }
 
 // PreconnectHomeReplicas calls Preconnect for each replica of the upstreams for which
--- a/internal/wire/quic/endpoint.go
+++ b/internal/wire/quic/endpoint.go
@@ -19,7 +19,7 @@
 // Limits of connections between peers.
 const (
 	// idleTimeout is how long an unused connection is kept. Opening it again takes as
-	// many bytes as some hundred probes. A connection to a process that has ended is
+	// many bytes as dozens of probes. A connection to a process that has ended is
 	// replaced sooner: when a call on it fails, or when the next process under that
 	// address connects.
 	idleTimeout      = time.Minute
--- a/internal/wire/quic/keys.go
+++ b/internal/wire/quic/keys.go
@@ -60,7 +60,7 @@
 		NextProtos:   []string{applicationProtocol},
 		MinVersion:   tls.VersionTLS13,
 		// The default adds a post-quantum key exchange, with which the first message
-		// of a handshake takes a second packet, and the handshake twice the bytes.
+		// of a handshake takes a second packet, and the handshake nearly twice the bytes.
 		CurvePreferences: []tls.CurveID{tls.X25519},
 	}
 }
