--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -73,6 +73,7 @@
 // trials holds the scripts by name. Each reports whether the rule was broken.
 var trials = map[string]func(*trial) (bool, error){
 	"duplicate": runDuplicate,
+	"stop":      runStop,
 }
 
 func main() { os.Exit(run()) }
