--- a/review/trial/duplicate.go
+++ b/review/trial/duplicate.go
@@ -38,7 +38,7 @@
 		}
 		replica.register(trial.store, "ready")
 	}
-	fleet, err := trial.startFleet([]string{"a", "a", "a", "b", "b", "b", "c", "c"})
+	fleet, err := trial.startFleet([]string{"a", "a", "a", "a", "b", "b", "b", "b", "c", "c", "c", "c"})
 	if err != nil {
 		return false, err
 	}
