--- a/review/trial/caller.go
+++ b/review/trial/caller.go
@@ -49,7 +49,7 @@
 	}
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, index := range rand.Perm(len(caller.fleet.machines))[:min(3, len(caller.fleet.machines))] {
-		response, err := client.Get(fmt.Sprintf("http://%s:%d/v1/resolve?name=%s&region=home&zone=%s", caller.fleet.machines[index].ip, directoryPort, host, caller.zone))
+		response, err := client.Get(fmt.Sprintf("http://%s/v1/resolve?name=%s&region=home&zone=%s", caller.fleet.machines[index].address(directoryPort), host, caller.zone))
 		if err != nil {
 			continue
 		}
--- a/review/trial/fleet.go
+++ b/review/trial/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,18 +15,57 @@
 	"time"
 )
 
-// Ports of a machine of the system. Each machine has a loopback address of its own.
+// Ports of a machine of the system, as offsets from the fleet's first port. Each machine
+// has a loopback address of its own, and all have the same ports.
 const (
-	directoryPort = 8100
-	frontPort     = 8104
-	controlPort   = 8106
-	readinessPort = 8108
+	directoryPort = iota
+	frontPort
+	controlPort
+	readinessPort
+	portCount
 )
 
+// operatorPort is the port that the settings template names.
+const operatorPort = 9464
+
+// findPorts returns the first of portCount consecutive ports that are free on the given
+// number of machines, for TCP and UDP.
+func findPorts(prefix string, machines int) (int, error) {
+	for range 100 {
+		first := 10_000 + rand.N(20_000)
+		if arePortsFree(prefix, machines, first, portCount) && arePortsFree(prefix, machines, operatorPort, 1) {
+			return first, nil
+		}
+	}
+	return 0, fmt.Errorf("no free ports at %s.1 and the addresses after it; port %d must be free too", prefix, operatorPort)
+}
+
+// arePortsFree reports whether count ports from first can be bound on all machines.
+func arePortsFree(prefix string, machines, first, count int) bool {
+	for number := range machines {
+		for port := first; port < first+count; port++ {
+			address := fmt.Sprintf("%s.%d:%d", prefix, number+1, port)
+			listener, err := net.Listen("tcp", address)
+			if err != nil {
+				return false
+			}
+			_ = listener.Close()
+			socket, err := net.ListenPacket("udp", address)
+			if err != nil {
+				return false
+			}
+			_ = socket.Close()
+		}
+	}
+	return true
+}
+
 // fleet holds the processes of the system.
 type fleet struct {
 	folder   string
 	machines []*machine
+	// firstPort is the first of the ports of each machine.
+	firstPort int
 	record   *record
 }
 
@@ -49,14 +90,18 @@
 // newFleet returns machines in the given zones, which are not started yet. Its
 // addresses begin with prefix, the first three numbers of an address.
 func newFleet(prefix, storeAddress string, zones []string, record *record) (*fleet, error) {
+	firstPort, err := findPorts(prefix, len(zones))
+	if err != nil {
+		return nil, err
+	}
 	folder, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	fleet := &fleet{folder: folder, record: record}
+	fleet := &fleet{folder: folder, record: record, firstPort: firstPort}
 	var seeds []string
 	for number := range min(len(zones), 3) {
-		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", prefix, number+1, controlPort))
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", prefix, number+1, firstPort+controlPort))
 	}
 	for number, zone := range zones {
 		machine := &machine{fleet: fleet, name: fmt.Sprintf("front-%s-%d", zone, number+1), zone: zone, ip: fmt.Sprintf("%s.%d", prefix, number+1), seeds: seeds}
@@ -77,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	address := func(port int) string { return fmt.Sprintf(`"%s:%d"`, machine.ip, port) }
+	address := func(port int) string { return `"` + machine.address(port) + `"` }
 	values := map[string]string{
 		"node_name|json": `"` + machine.name + `"`, "zone|json": `"` + machine.zone + `"`, "ip": machine.ip,
 		"listen_addrs.front|json": address(frontPort), "listen_addrs.control|json": address(controlPort),
@@ -177,13 +222,18 @@
 	return nil
 }
 
+// address returns the machine's address with one of its ports.
+func (machine *machine) address(port int) string {
+	return fmt.Sprintf("%s:%d", machine.ip, machine.fleet.firstPort+port)
+}
+
 // frontAddress returns the address for callers.
-func (machine *machine) frontAddress() string { return fmt.Sprintf("%s:%d", machine.ip, frontPort) }
+func (machine *machine) frontAddress() string { return machine.address(frontPort) }
 
 // isReady asks the process as the platform does.
 func (machine *machine) isReady() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get(fmt.Sprintf("http://%s:%d/v1/ready", machine.ip, readinessPort))
+	response, err := client.Get("http://" + machine.address(readinessPort) + "/v1/ready")
 	if err != nil {
 		return false
 	}
