review: formatted; replicas of case 2 take 500 ms

With 300 ms case 2 cut 2 to 8 requests a run, which leaves little room. Change: gofmt; 500 ms, below the longest work of the site file (540 ms), and more slots.

--- a/review/trial/fleet.go
+++ b/review/trial/fleet.go
@@ -66,7 +66,7 @@
 	machines []*machine
 	// firstPort is the first of the ports of each machine.
 	firstPort int
-	record   *record
+	record    *record
 }
 
 // machine is one machine of the system, with one process.
--- a/review/trial/stop.go
+++ b/review/trial/stop.go
@@ -44,7 +44,7 @@
 	stoptrial := &stopTrial{trial: trial, stops: make(map[string]time.Time)}
 	trial.store.put("op/config", configuration(3, "safe", lookup, "ledger"))
 	for _, config := range []replicaConfig{{id: "i-ledger-1", zone: "a"}, {id: "i-ledger-2", zone: "b"}, {id: "i-ledger-3", zone: "a"}, {id: "i-ledger-4", zone: "b"}} {
-		config.service, config.slots, config.queue, config.work = "ledger", 16, 12, 300*time.Millisecond
+		config.service, config.slots, config.queue, config.work = "ledger", 24, 12, 500*time.Millisecond
 		replica, err := startReplica(config, trial.prefix+".200", trial.record)
 		if err != nil {
 			return false, err
