wire/http: a trace names the exchange of each attempt that was not done

A command that ran twice left nothing in the logs that tells why: two lines 'the replica answered shed' look the same whether the replica refused both offers, or refused one and sent its refusal twice. The reply of a relayed attempt now names its exchange, the local address of the connection and the number of the request on it, and the lines 'attempt failed' end with that.

--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -162,7 +162,7 @@
 		return relayer.answerOfError(ctx, replica, err)
 	}
 	if reply.Status != api.ReplyDone {
-		relayedcommand.addTrace(trace.AttemptFailed, replica.Instance.Name, "the replica answered "+string(reply.Status))
+		relayedcommand.addTrace(trace.AttemptFailed, replica.Instance.Name, reply.Summary())
 	}
 	return relayer.answerOfReply(replica, reply, view.MonotonicNow()-start, waitFactor)
 }
--- a/internal/process/timeline/timeline_test.go
+++ b/internal/process/timeline/timeline_test.go
@@ -61,6 +61,14 @@
 			},
 			want: "no replica took the command; 1 × attempt failed the replica answered shed",
 		},
+		"refused in two exchanges": {
+			lines: []string{
+				`{"msg":"attempt failed","request":"r","after":0.01,"detail":"the replica answered shed (10.1.0.9:41800/7)"}`,
+				`{"msg":"attempt failed","request":"r","after":0.03,"detail":"the replica answered shed (10.1.0.9:41802/1)"}`,
+				`{"msg":"request answered","request":"r","outcome":"notRun","reason":"no replica took the command"}`,
+			},
+			want: "no replica took the command; 2 × attempt failed the replica answered shed",
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -165,7 +165,7 @@
 	}
 	replicastats.ObserveOutcome(reply.Status == api.ReplyDone)
 	if reply.Status != api.ReplyDone {
-		shardquery.addTrace(trace.AttemptFailed, attempt.replica.Instance.Name, "the replica answered "+string(reply.Status))
+		shardquery.addTrace(trace.AttemptFailed, attempt.replica.Instance.Name, reply.Summary())
 	}
 	switch reply.Status {
 	case api.ReplyDone:
--- a/internal/state/api/upstream.go
+++ b/internal/state/api/upstream.go
@@ -104,6 +104,17 @@
 	Signature string
 	// Response is the replica's answer to a relayed request as it was read.
 	Response *Response
+	// Exchange names the exchange of a relayed attempt that was not done: the local
+	// address of its connection, a slash and the number of the exchange on it.
+	Exchange string
+}
+
+// Summary describes the reply for logs.
+func (reply Reply) Summary() string {
+	if reply.Exchange == "" {
+		return "the replica answered " + string(reply.Status)
+	}
+	return "the replica answered " + string(reply.Status) + " (" + reply.Exchange + ")"
 }
 
 // ReplicaHealth is what a replica's health endpoint reports. The report lags
--- a/internal/wire/http/relayconn.go
+++ b/internal/wire/http/relayconn.go
@@ -62,6 +62,8 @@
 	reusableUntil time.Time
 	// mustClose is set if the connection cannot carry another request.
 	mustClose bool
+	// exchangeCount counts the exchanges that have started.
+	exchangeCount int
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -100,6 +102,7 @@
 // before the answer arrives, it returns an error, after a further lateAnswerWait at
 // the latest.
 func (relayconn *relayConn) exchange(ctx context.Context, request encodedRequest) (*api.Response, error) {
+	relayconn.exchangeCount++
 	relayconn.mutex.Lock()
 	relayconn.exchangeNumber++
 	number := relayconn.exchangeNumber
@@ -116,6 +119,11 @@
 	return response, nil
 }
 
+// exchangeName returns the name of the last exchange (see api.Reply.Exchange).
+func (relayconn *relayConn) exchangeName() string {
+	return relayconn.conn.LocalAddr().String() + "/" + strconv.Itoa(relayconn.exchangeCount)
+}
+
 // interrupt ends the exchange with the given number: after lateAnswerWait if its
 // query was answered without it, and immediately otherwise. It does nothing if the
 // exchange has already ended.
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -127,6 +127,9 @@
 	}
 	reply := decodeRelayedResponse(relaylink.names, attempt, response)
 	observeAcceptance(relaylink.stats, reply)
+	if reply.Status != api.ReplyDone {
+		reply.Exchange = conn.exchangeName()
+	}
 	return reply, nil
 }
 
