wire/http: no connection carries again a request that was answered on it without being done

Cause: a command that all replicas rejected is offered again under the same identity. If a replica sends a late second copy of its rejection, and the second offer goes over the same connection, the copy is read as the answer to the second offer: "not run". The replica works on the command, and it is offered once more.

Why this works: a connection remembers the requests that were answered on it without being done and carries none of them again, so that a copy can meet only answers to other requests, which the identity tells apart, whenever it arrives. The number of offers and their pauses are as they were. Queries took the same copies and are covered too.

The stand-in replicas can refuse the first offers of a request and repeat refusals.

--- a/internal/standin/upstream/config.go
+++ b/internal/standin/upstream/config.go
@@ -51,6 +51,12 @@
 	// RetryAfter refuses relayed requests without running them, and asks to be sent
 	// nothing for this time.
 	RetryAfter time.Duration `json:"retryAfter"`
+	// RefusedOffers is how often each relayed request is refused, without running it,
+	// before the replica takes it.
+	RefusedOffers int `json:"refusedOffers"`
+	// RepeatRefusals sends every refusal over HTTP/1.1 twice: the second time directly
+	// before the next answer on the connection.
+	RepeatRefusals bool `json:"repeatRefusals"`
 	// CutHead closes the connection in the middle of the head of the answer to a
 	// relayed request.
 	CutHead bool `json:"cutHead"`
--- a/internal/standin/upstream/relay.go
+++ b/internal/standin/upstream/relay.go
@@ -48,7 +48,7 @@
 	defer cancel()
 	attempt := api.Attempt{Identity: identity, Shard: replica.onlyShard(), IsCommand: true, Epoch: 1, Body: body}
 	status := replica.admit(attempt)
-	if replica.setAcceptance(writer.Header()) {
+	if replica.setAcceptance(writer.Header()) || replica.refuseOffer(identity) {
 		status = api.ReplyShed
 	}
 	if status == "" && !replica.acquireSlot(ctx) {
@@ -80,6 +80,18 @@
 	return true
 }
 
+// refuseOffer reports whether the replica refuses this offer of the relayed request with
+// the given identity because of Faults.RefusedOffers, and counts the offer if so.
+func (replica *Replica) refuseOffer(identity string) bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	if replica.refusedOffers[identity] >= replica.faults.RefusedOffers {
+		return false
+	}
+	replica.refusedOffers[identity]++
+	return true
+}
+
 // cutHead writes the first line of an answer and a part of its second line, and
 // closes the connection.
 func cutHead(writer http.ResponseWriter) {
--- a/internal/standin/upstream/replica.go
+++ b/internal/standin/upstream/replica.go
@@ -38,6 +38,8 @@
 	// commandIdentities holds the identities of the commands and relayed
 	// requests that ran.
 	commandIdentities map[string]bool
+	// refusedOffers counts the offers that Faults.RefusedOffers refused, by identity.
+	refusedOffers map[string]int
 	// slotsInUse is the number of requests that run.
 	slotsInUse int
 	// slotQueue holds a channel for each request that waits for a slot. A closed
@@ -58,6 +60,7 @@
 		snapshots:         snapshots,
 		counts:            Counts{CommandRuns: make(map[string]int), RelayedRequests: make(map[string]RelayedRequest)},
 		commandIdentities: make(map[string]bool),
+		refusedOffers:     make(map[string]int),
 	}
 }
 
--- a/internal/standin/upstream/server.go
+++ b/internal/standin/upstream/server.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -95,6 +96,8 @@
 	replica     *Replica
 	connectOnce sync.Once
 	closeOnce   sync.Once
+	// lateCopy is the second copy of a refusal that Write sends before the next answer.
+	lateCopy []byte
 }
 
 // Read reads from the connection. The first call waits for ConnectCost.
@@ -103,6 +106,30 @@
 	return countedconn.Conn.Read(buffer)
 }
 
+// refusalStart is the start of a refusal over HTTP/1.1.
+const refusalStart = "HTTP/1.1 503 "
+
+// Write writes an answer to the connection, after the second copy of a refusal if one is
+// due. The server writes a refusal, which is short, with a single call.
+func (countedconn *countedConn) Write(answer []byte) (int, error) {
+	if len(countedconn.lateCopy) > 0 {
+		if _, err := countedconn.Conn.Write(countedconn.lateCopy); err != nil {
+			return 0, err
+		}
+		countedconn.lateCopy = nil
+	}
+	if bytes.HasPrefix(answer, []byte(refusalStart)) && countedconn.replica.repeatsRefusals() {
+		countedconn.lateCopy = bytes.Clone(answer)
+	}
+	return countedconn.Conn.Write(answer)
+}
+
+func (replica *Replica) repeatsRefusals() bool {
+	replica.mutex.Lock()
+	defer replica.mutex.Unlock()
+	return replica.faults.RepeatRefusals
+}
+
 // Close closes the connection and removes it from the count.
 func (countedconn *countedConn) Close() error {
 	countedconn.closeOnce.Do(countedconn.replica.removeConnection)
--- a/internal/wire/http/relayconn.go
+++ b/internal/wire/http/relayconn.go
@@ -64,6 +64,9 @@
 	mustClose bool
 	// exchangeCount counts the exchanges that have started.
 	exchangeCount int
+	// undone holds the requests that the replica answered on this connection without
+	// doing them.
+	undone identitySet
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -88,14 +91,27 @@
 
 func (relayconn *relayConn) close() { _ = relayconn.conn.Close() }
 
-// isUsable reports whether an idle connection may carry another request. A command
-// needs a connection that received an answer within relayCommandReuse.
-func (relayconn *relayConn) isUsable(isCommand bool) bool {
+// isUsable reports whether an idle connection may carry attempt. A command needs a
+// connection that received an answer within relayCommandReuse.
+func (relayconn *relayConn) isUsable(attempt api.Attempt) bool {
 	now := time.Now()
-	if now.After(relayconn.reusableUntil) || isCommand && now.Sub(relayconn.lastAnswer) > relayCommandReuse {
+	if now.After(relayconn.reusableUntil) || attempt.IsCommand && now.Sub(relayconn.lastAnswer) > relayCommandReuse {
 		return false
 	}
-	return relayconn.rawConn != nil && relayconn.reader.Buffered() == 0 && isOpenAndDrained(relayconn.rawConn)
+	return relayconn.mayCarry(attempt) && relayconn.rawConn != nil && relayconn.reader.Buffered() == 0 && isOpenAndDrained(relayconn.rawConn)
+}
+
+// mayCarry reports whether attempt's request was never answered on this connection
+// without having been done. The identity tells a late second copy of such an answer from
+// the answers to other requests, but not from the answer to the same request sent again.
+func (relayconn *relayConn) mayCarry(attempt api.Attempt) bool {
+	return !relayconn.undone.contains(attempt.RelayedRequest.Identity)
+}
+
+// recordUndone records that attempt was answered without having been done.
+func (relayconn *relayConn) recordUndone(attempt api.Attempt) {
+	relayconn.undone.add(attempt.RelayedRequest.Identity)
+	relayconn.mustClose = relayconn.mustClose || relayconn.undone.isFull()
 }
 
 // exchange sends a request and reads the complete answer to it. If ctx is done
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -129,6 +130,7 @@
 	observeAcceptance(relaylink.stats, reply)
 	if reply.Status != api.ReplyDone {
 		reply.Exchange = conn.exchangeName()
+		conn.recordUndone(attempt)
 	}
 	return reply, nil
 }
@@ -136,13 +138,13 @@
 // acquire returns a connection for one request: an idle one, a new one within the
 // link's limit, or one that another request releases. The caller releases it.
 func (relaylink *RelayLink) acquire(ctx context.Context, attempt api.Attempt) (*relayConn, error) {
-	conn, err := relaylink.reserve(ctx, waitqueue.Priority{TargetTime: attempt.TargetTime, Rank: attempt.Rank})
+	conn, err := relaylink.reserve(ctx, attempt)
 	if err != nil {
 		return nil, err
 	}
-	for conn != nil && !conn.isUsable(attempt.IsCommand) {
+	for conn != nil && !conn.isUsable(attempt) {
 		conn.close()
-		conn = relaylink.replaceClosed()
+		conn = relaylink.replaceClosed(attempt)
 	}
 	if conn != nil {
 		return conn, nil
@@ -155,11 +157,11 @@
 }
 
 // reserve returns an idle connection, or nil if the caller may open one. If the
-// link is at its limit, it waits in the order of priority until a connection is
-// released or ctx is done.
-func (relaylink *RelayLink) reserve(ctx context.Context, priority waitqueue.Priority) (*relayConn, error) {
+// link is at its limit, it returns an idle connection that may not carry attempt, or
+// waits in the order of priority until a connection is released or ctx is done.
+func (relaylink *RelayLink) reserve(ctx context.Context, attempt api.Attempt) (*relayConn, error) {
 	relaylink.mutex.Lock()
-	if conn := relaylink.popIdle(); conn != nil {
+	if conn := relaylink.popIdle(attempt); conn != nil {
 		relaylink.mutex.Unlock()
 		return conn, nil
 	}
@@ -168,7 +170,12 @@
 		relaylink.mutex.Unlock()
 		return nil, nil
 	}
-	waiter := relaylink.waiters.Add(priority)
+	if len(relaylink.idleConns) > 0 {
+		conn := relaylink.removeIdle(0)
+		relaylink.mutex.Unlock()
+		return conn, nil
+	}
+	waiter := relaylink.waiters.Add(waitqueue.Priority{TargetTime: attempt.TargetTime, Rank: attempt.Rank})
 	relaylink.mutex.Unlock()
 	select {
 	case conn := <-waiter.Ready:
@@ -179,24 +186,31 @@
 	}
 }
 
-// popIdle removes and returns the idle connection that was used last, or returns
-// nil if there is none. The caller holds the mutex.
-func (relaylink *RelayLink) popIdle() *relayConn {
-	last := len(relaylink.idleConns) - 1
-	if last < 0 {
-		return nil
+// popIdle removes and returns the idle connection that was used last among those that
+// may carry attempt, or returns nil if there is none. The caller holds the mutex.
+func (relaylink *RelayLink) popIdle(attempt api.Attempt) *relayConn {
+	for index, conn := range slices.Backward(relaylink.idleConns) {
+		if conn.mayCarry(attempt) {
+			return relaylink.removeIdle(index)
+		}
 	}
-	conn := relaylink.idleConns[last]
-	relaylink.idleConns = relaylink.idleConns[:last]
+	return nil
+}
+
+// removeIdle removes and returns the idle connection at index. The caller holds the
+// mutex.
+func (relaylink *RelayLink) removeIdle(index int) *relayConn {
+	conn := relaylink.idleConns[index]
+	relaylink.idleConns = slices.Delete(relaylink.idleConns, index, index+1)
 	return conn
 }
 
 // replaceClosed returns an idle connection in place of one that acquire closed, or
-// nil if none is idle and the caller may open one.
-func (relaylink *RelayLink) replaceClosed() *relayConn {
+// nil if none may carry attempt and the caller may open one.
+func (relaylink *RelayLink) replaceClosed(attempt api.Attempt) *relayConn {
 	relaylink.mutex.Lock()
 	defer relaylink.mutex.Unlock()
-	conn := relaylink.popIdle()
+	conn := relaylink.popIdle(attempt)
 	if conn != nil {
 		relaylink.openCount--
 	}
