wire/http: a response to another request ends its HTTP/1.1 connection

Each attempt has an identity of its own there, so that nothing runs twice, but a late second copy of an answer stayed ahead by one: each later answer on the connection was read for the request after its own, until the transport found bytes on the connection while it was idle. A health check has no identity, and took the answer to an attempt for its own.

Shown by the test only; the users' platform does not use this protocol.

A response whose identity is not that of the attempt, or that has one although it was asked for by a health check, is an error as before, and now also closes its connection. One copy costs one request at most. HTTP/2 needs nothing: its responses have streams.

--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,34 +194,47 @@
 	if err := checkAcceptsRequests(link.stats); err != nil {
 		return api.Reply{}, &SendError{Step: "send to", Peer: link.address, Cause: err}
 	}
-	var isConnected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { isConnected.Store(true) }}
-	request, err := newUpstreamRequest(httptrace.WithClientTrace(ctx, trace), link.address, attempt)
+	used := &usedConn{}
+	request, err := newUpstreamRequest(used.observe(ctx), link.address, attempt)
 	if err != nil {
 		return api.Reply{}, &SendError{Step: "build request for", Peer: link.address, Cause: err}
 	}
 	response, err := link.transport.Load().RoundTrip(request)
 	if err != nil {
-		return api.Reply{}, &SendError{Step: "send to", Peer: link.address, MayHaveRun: isConnected.Load(), Cause: err}
+		return api.Reply{}, &SendError{Step: "send to", Peer: link.address, MayHaveRun: used.isSet(), Cause: err}
 	}
 	defer response.Body.Close()
+	if err := link.match(response, attempt.Identity, used); err != nil {
+		return api.Reply{}, &SendError{Step: "match reply of", Peer: link.address, MayHaveRun: true, Cause: err}
+	}
 	reply, err := decodeReply(response)
 	if err != nil {
 		return reply, &SendError{Step: "read reply of", Peer: link.address, MayHaveRun: true, Cause: err}
 	}
 	observeAcceptance(link.stats, reply)
-	if reply.Identity != attempt.Identity {
-		mismatch := errors.Errorf("reply to attempt %q", reply.Identity)
-		return reply, &SendError{Step: "match reply of", Peer: link.address, MayHaveRun: true, Cause: mismatch}
-	}
 	return reply, nil
 }
 
+// match checks that response belongs to the attempt with the given identity, or to a
+// health check if that is empty. Otherwise it returns an error, and closes an HTTP/1.1
+// connection, on which the response due to this request would be read for the next one.
+func (link *Link) match(response *http.Response, identity string, used *usedConn) error {
+	found := response.Header.Get(headerAttempt)
+	if found == identity {
+		return nil
+	}
+	if link.protocol == api.ProtocolHTTP1 {
+		used.close()
+	}
+	return errors.Errorf("response to attempt %q", found)
+}
+
 // Health requests the replica's health endpoint. Its errors are of type
 // *SendError.
 func (link *Link) Health(ctx context.Context) (api.ReplicaHealth, error) {
 	var health api.ReplicaHealth
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+link.address+HealthPath, nil)
+	used := &usedConn{}
+	request, err := http.NewRequestWithContext(used.observe(ctx), http.MethodGet, "http://"+link.address+HealthPath, nil)
 	if err != nil {
 		return health, &SendError{Step: "build health check of", Peer: link.address, Cause: err}
 	}
@@ -231,6 +243,9 @@
 		return health, &SendError{Step: "check health of", Peer: link.address, Cause: err}
 	}
 	defer response.Body.Close()
+	if err := link.match(response, "", used); err != nil {
+		return health, &SendError{Step: "match health of", Peer: link.address, Cause: err}
+	}
 	if err := json.NewDecoder(io.LimitReader(response.Body, MaxReplyBytes)).Decode(&health); err != nil {
 		return health, &SendError{Step: "read health of", Peer: link.address, Cause: err}
 	}
