cmd/mimosaspring: only an interrupt ends a planned stop that has begun

Cause: a second SIGTERM cancelled the stop. In the log of a process that got two 0.4 s apart, 'requests cut' and 'instance stopped' follow the second within 1 ms, with the leave time and the drain still ahead; so it is not a drain that is too short.

Why this works: SIGTERM and SIGHUP no longer reach the context of the stop. An interrupt at a terminal still ends it. Signals are handled from the start of serve on.

--- a/cmd/mimosaspring/cmds/serve.go
+++ b/cmd/mimosaspring/cmds/serve.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"github.com/mimosaspring/mimosaspring/internal/process/commandline"
 	"github.com/mimosaspring/mimosaspring/internal/process/instance"
@@ -23,9 +19,10 @@
 	Settings string `required:"" type:"path" env:"MIMOSASPRING_SETTINGS" help:"The settings file, in TOML."`
 }
 
-// Run serves until SIGTERM or SIGINT, and then shuts down gracefully. A second
-// signal ends the shutdown at once.
+// Run serves until SIGTERM or SIGINT, and then shuts down gracefully. A further SIGINT
+// ends the shutdown at once; other signals do not shorten it.
 func (servecmd *serveCmd) Run(ctx context.Context) error {
+	signals := notifySignals()
 	settings, err := toml.ReadSettings(servecmd.Settings)
 	if err != nil {
 		return &commandline.InputError{Cause: err}
@@ -34,6 +31,7 @@
 	if err != nil {
 		return &commandline.InputError{Cause: err}
 	}
+	signals.logger = loggers.Part(log.PartProcess)
 	options, err := adapterOptions(settings)
 	if err != nil {
 		return &commandline.InputError{Cause: err}
@@ -43,28 +41,15 @@
 	if err != nil {
 		return err
 	}
-	awaitStopSignal(loggers.Part(log.PartProcess))
-	stopCtx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	signals.awaitStop()
+	stopCtx, interrupt := context.WithCancel(ctx)
+	defer interrupt()
+	go signals.loop(ctx, interrupt)
 	instance.Stop(stopCtx)
 	loggers.Flush()
 	return nil
 }
 
-// awaitStopSignal returns when the process receives SIGTERM or SIGINT. SIGHUP, which
-// announces a changed settings file, is only logged, because the settings are read
-// once at the start.
-func awaitStopSignal(logger *zap.Logger) {
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	for signal := range signals {
-		if signal != syscall.SIGHUP {
-			return
-		}
-		logger.Info("hangup received; changed settings take effect at the next start")
-	}
-}
-
 // adapters holds, by the value of the setting "interface", the functions that return
 // the adapters which replace the system's own interface.
 var adapters = map[string]func() instance.Adapter{
--- a/cmd/mimosaspring/process_test.go
+++ b/cmd/mimosaspring/process_test.go
@@ -166,14 +166,16 @@
 	"STOP": syscall.SIGSTOP,
 	"CONT": syscall.SIGCONT,
 	"USR1": syscall.SIGUSR1,
+	"HUP":  syscall.SIGHUP,
+	"INT":  syscall.SIGINT,
 }
 
 // signalProcess sends a signal to a process that the script started.
 //
-// Usage: signal KILL|TERM|STOP|CONT|USR1 NAME
+// Usage: signal KILL|TERM|STOP|CONT|USR1|HUP|INT NAME
 func signalProcess(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) != 2 {
-		ts.Fatalf("usage: signal KILL|TERM|STOP|CONT|USR1 NAME")
+		ts.Fatalf("usage: signal KILL|TERM|STOP|CONT|USR1|HUP|INT NAME")
 	}
 	process := findProcess(ts, args[1])
 	signal, isKnown := signals[args[0]]
