wire/http, cmd/mimosaspring: comments and a derived count after reading the diff

The number of an exchange is derived from exchangeNumber in place of a second counter. The comments say what a connection may not carry, and why SIGHUP has its own channel.

--- a/cmd/mimosaspring/cmds/signals.go
+++ b/cmd/mimosaspring/cmds/signals.go
@@ -9,18 +9,23 @@
 	"go.uber.org/zap"
 )
 
-// signals receives the signals that the process handles. SIGHUP, which announces a
-// changed settings file, is only logged, because the settings are read once at the start.
-// It has a channel of its own, so that any number of it leaves room for SIGTERM.
+// signals receives the signals that the process handles.
 type signals struct {
-	stop    chan os.Signal
+	// stop receives SIGTERM and SIGINT.
+	stop chan os.Signal
+	// hangups receives SIGHUP, which announces a changed settings file. It is only
+	// logged, because the settings are read once at the start. With a channel of its
+	// own it cannot take the room of SIGTERM.
 	hangups chan os.Signal
 	logger  *zap.Logger
 }
 
-// notifySignals returns signals that arrive from now on.
+// maxPendingSignals is the number of signals that may wait to be handled.
+const maxPendingSignals = 4
+
+// notifySignals returns the signals that arrive from now on.
 func notifySignals() *signals {
-	signals := &signals{stop: make(chan os.Signal, 4), hangups: make(chan os.Signal, 1), logger: zap.NewNop()}
+	signals := &signals{stop: make(chan os.Signal, maxPendingSignals), hangups: make(chan os.Signal, 1), logger: zap.NewNop()}
 	signal.Notify(signals.stop, syscall.SIGTERM, os.Interrupt)
 	signal.Notify(signals.hangups, syscall.SIGHUP)
 	return signals
--- a/internal/wire/http/identityset.go
+++ b/internal/wire/http/identityset.go
@@ -6,11 +6,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxIdentities is the number of identities that an identitySet holds.
+// maxIdentities is the number of identities from which on an identitySet is full.
 const maxIdentities = 256
 
-// identitySet is a bounded set of request identities. It holds their hashes, so that an
-// identity that is not in the set may rarely be reported as contained.
+// identitySet is a set of request identities, of which it holds the hashes. It may rarely
+// report an identity as contained that is not.
 type identitySet struct{ hashes []uint64 }
 
 func (identityset *identitySet) add(identity string) {
--- a/internal/wire/http/relayconn.go
+++ b/internal/wire/http/relayconn.go
@@ -62,10 +62,8 @@
 	reusableUntil time.Time
 	// mustClose is set if the connection cannot carry another request.
 	mustClose bool
-	// exchangeCount counts the exchanges that have started.
-	exchangeCount int
-	// undone holds the requests that the replica answered on this connection without
-	// doing them.
+	// undone holds the identities of the requests that the replica answered on this
+	// connection without doing them.
 	undone identitySet
 
 	// mutex guards the fields below.
@@ -101,9 +99,9 @@
 	return relayconn.mayCarry(attempt) && relayconn.rawConn != nil && relayconn.reader.Buffered() == 0 && isOpenAndDrained(relayconn.rawConn)
 }
 
-// mayCarry reports whether attempt's request was never answered on this connection
-// without having been done. The identity tells a late second copy of such an answer from
-// the answers to other requests, but not from the answer to the same request sent again.
+// mayCarry reports whether the connection may carry attempt's request, unless the replica
+// answered it here before without doing it. A late second copy of that answer could not
+// be told from the answer to attempt: both bear the identity of the request.
 func (relayconn *relayConn) mayCarry(attempt api.Attempt) bool {
 	return !relayconn.undone.contains(attempt.RelayedRequest.Identity)
 }
@@ -118,7 +116,6 @@
 // before the answer arrives, it returns an error, after a further lateAnswerWait at
 // the latest.
 func (relayconn *relayConn) exchange(ctx context.Context, request encodedRequest) (*api.Response, error) {
-	relayconn.exchangeCount++
 	relayconn.mutex.Lock()
 	relayconn.exchangeNumber++
 	number := relayconn.exchangeNumber
@@ -135,9 +132,12 @@
 	return response, nil
 }
 
-// exchangeName returns the name of the last exchange (see api.Reply.Exchange).
+// exchangeName returns the name of the last exchange, which has ended (see
+// api.Reply.Exchange). Each exchange changed exchangeNumber twice.
 func (relayconn *relayConn) exchangeName() string {
-	return relayconn.conn.LocalAddr().String() + "/" + strconv.Itoa(relayconn.exchangeCount)
+	relayconn.mutex.Lock()
+	defer relayconn.mutex.Unlock()
+	return relayconn.conn.LocalAddr().String() + "/" + strconv.Itoa(relayconn.exchangeNumber/2)
 }
 
 // interrupt ends the exchange with the given number: after lateAnswerWait if its
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -157,8 +157,9 @@
 }
 
 // reserve returns an idle connection, or nil if the caller may open one. If the
-// link is at its limit, it returns an idle connection that may not carry attempt, or
-// waits in the order of priority until a connection is released or ctx is done.
+// link is at its limit, it returns an idle connection even if that may not carry
+// attempt, or waits in the order of priority until a connection is released or ctx is
+// done.
 func (relaylink *RelayLink) reserve(ctx context.Context, attempt api.Attempt) (*relayConn, error) {
 	relaylink.mutex.Lock()
 	if conn := relaylink.popIdle(attempt); conn != nil {
@@ -171,6 +172,7 @@
 		return nil, nil
 	}
 	if len(relaylink.idleConns) > 0 {
+		// None of them may carry attempt. acquire closes this one and opens another.
 		conn := relaylink.removeIdle(0)
 		relaylink.mutex.Unlock()
 		return conn, nil
