Review: the stand-in of the store states its era in case 8 only

Cause: an instance that reads an era waits for its peers before it uses its first listing, which hides the fault of case 6. The store of the site's pages states none.

--- a/review/drill/restored.go
+++ b/review/drill/restored.go
@@ -20,6 +20,7 @@
 // copy of before. The operator writes the newer configuration again a little later. No
 // machine may go back to the older one.
 func playRestored(site *site, isTroubled bool) string {
+	site.store.era = 1
 	services := []service{{Name: "ledger", HealthPath: "/health", MaxConns: 110, Protocol: "h1"}, {Name: "logbook", HealthPath: "/health", MaxConns: 110, Protocol: "h1"}}
 	moved := ledgerRoute
 	moved.Service = "logbook"
--- a/review/drill/store.go
+++ b/review/drill/store.go
@@ -34,7 +34,8 @@
 	history  []item
 	// changed is closed and replaced at each change.
 	changed chan struct{}
-	// era rises each time the store comes back from an older copy.
+	// era rises each time the store comes back from an older copy. A store in era 0
+	// doesn't state it.
 	era int
 	// isAway is set while the store answers nothing.
 	isAway bool
@@ -73,7 +74,7 @@
 }
 
 func newStore() *store {
-	return &store{era: 1, revision: 1, items: make(map[string]item), changed: make(chan struct{})}
+	return &store{revision: 1, items: make(map[string]item), changed: make(chan struct{})}
 }
 
 // put writes a key and returns once the write is confirmed.
@@ -112,7 +113,9 @@
 	if isAway {
 		panic(http.ErrAbortHandler)
 	}
-	writer.Header().Set("Store-Era", strconv.Itoa(era))
+	if era > 0 {
+		writer.Header().Set("Store-Era", strconv.Itoa(era))
+	}
 	switch request.URL.Path {
 	case "/v1/kv-range":
 		writeJSON(writer, store.page(query.Get("prefix"), query.Get("after")))
