--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -24,7 +24,7 @@
 var cases = map[string]func(site *site, isTroubled bool) string{
 	"removed":  playRemoved,
 	"restored": playRestored,
-	"alone":    playAlone,
+	"held":     playHeld,
 	"refused":  playRefused,
 }
 
--- a/review/drill/removed.go
+++ b/review/drill/removed.go
@@ -39,14 +39,7 @@
 	site.addInstances(smallSite)
 	site.startAll()
 	time.Sleep(contactTime + time.Second)
-	var up, killed []*instance
-	for _, instance := range site.instances {
-		if slices.Contains(readers, instance.name) {
-			killed = append(killed, instance)
-		} else {
-			up = append(up, instance)
-		}
-	}
+	up, killed := site.splitByReading()
 	if isTroubled {
 		for _, instance := range killed {
 			site.record("instance %s is killed", instance.name)
@@ -91,3 +84,16 @@
 	}
 	return fmt.Sprintf("DRAIN: %d orders reached %s later than %v after the store had confirmed that it is gone, the last after %.1f s; %d orders were cut when it exited, their outcome unknown", len(late), leaving.id, drainTime, (late[len(late)-1].at - removedAt).Seconds(), failed.Load())
 }
+
+// splitByReading returns the instances that don't read the store for others, and those
+// that do.
+func (site *site) splitByReading() (others, reading []*instance) {
+	for _, instance := range site.instances {
+		if slices.Contains(readers, instance.name) {
+			reading = append(reading, instance)
+		} else {
+			others = append(others, instance)
+		}
+	}
+	return others, reading
+}
--- a/review/drill/replica.go
+++ b/review/drill/replica.go
@@ -47,15 +47,8 @@
 
 	mutex sync.Mutex
 	// answer, if set, writes the answer to a request that the replica has run.
-	answer   func(writer http.ResponseWriter, run run)
-	runs     []run
-	arrivals []arrival
-}
-
-// arrival is one request that reached a replica, whether it ran or not.
-type arrival struct {
-	request string
-	at      time.Duration
+	answer func(writer http.ResponseWriter, run run)
+	runs   []run
 }
 
 // run is one request that a replica ran.
@@ -129,9 +122,6 @@
 	if err != nil {
 		return
 	}
-	replica.mutex.Lock()
-	replica.arrivals = append(replica.arrivals, arrival{request: id, at: replica.site.now()})
-	replica.mutex.Unlock()
 	millis, _ := strconv.Atoi(request.Header.Get(headerDeadline))
 	if !replica.acquire(request, time.Duration(millis)*time.Millisecond) {
 		header.Set(headerNotRun, "1")
@@ -193,13 +183,6 @@
 	replica.answer = answer
 }
 
-// arrivalList returns the requests that reached the replica.
-func (replica *replica) arrivalList() []arrival {
-	replica.mutex.Lock()
-	defer replica.mutex.Unlock()
-	return append([]arrival(nil), replica.arrivals...)
-}
-
 // partOf returns the records with which every replica of a service answers a request.
 func partOf(service, id string) []byte {
 	var records []byte
--- a/review/drill/restored.go
+++ b/review/drill/restored.go
@@ -16,6 +16,9 @@
 	rollbackSlack = 250 * time.Millisecond
 )
 
+// ledgerRoute is a route whose requests one replica answers.
+var ledgerRoute = route{Name: "r-ledger", Host: callerHost, Prefix: "/ledger/", Type: "safe", TimeoutMS: 6000, TargetLatencyMS: 400, Priority: 2, Service: "ledger", MaxAttempts: 2}
+
 // playRestored moves a route to another service, and then brings the store back from a
 // copy of before. The operator writes the newer configuration again a little later. No
 // machine may go back to the older one.
--- a/review/drill/site.go
+++ b/review/drill/site.go
@@ -39,8 +39,6 @@
 
 	mutex sync.Mutex
 	log   *os.File
-	// sentAt holds when each request of a caller was sent.
-	sentAt []time.Duration
 }
 
 // newSite starts a store. It records what happens in the file at recordPath.
@@ -114,11 +112,6 @@
 		}
 		site.instances = append(site.instances, instance)
 	}
-	site.writeSettings(seeds)
-}
-
-// writeSettings writes the settings files of all instances with the given seeds.
-func (site *site) writeSettings(seeds []string) {
 	template, err := os.ReadFile("deploy/settings.toml")
 	if err != nil {
 		fail("%v", err)
@@ -279,9 +272,6 @@
 	request.Close = true
 	request.Header.Set(headerRequest, id)
 	request.Header.Set(headerDeadline, fmt.Sprint(deadline.Milliseconds()))
-	site.mutex.Lock()
-	site.sentAt = append(site.sentAt, site.now())
-	site.mutex.Unlock()
 	site.record("caller sends %s %s %s to %s", method, path, id, instance.name)
 	client := &http.Client{Timeout: deadline, Transport: &http.Transport{DisableCompression: true}}
 	response, err := client.Do(request)
