Review: free ports for the scripts, and exit code 2 where a program is missing

Cause: the ports of the machines were fixed, and a script without its programs ended with 127. Change: review/drill looks for ports that are free on all machines; run.sh checks first.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,5 @@
 # Plays the case: exit code 1 if the rule was broken, 0 if it held, 2 if it could not run.
 # With TROUBLE=0 it plays the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
+[ -x target/drill ] && [ -x target/mimosaspring ] || exit 2
 exec target/drill refused review/7/record.txt
--- a/review/drill/site.go
+++ b/review/drill/site.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -87,15 +88,17 @@
 
 // instance is one machine of the deployment with the process under test.
 type instance struct {
-	site     *site
-	name     string
-	zone     string
-	ip       string
-	front    string
-	ready    string
-	settings string
-	cmd      *exec.Cmd
-	done     chan struct{}
+	site      *site
+	name      string
+	zone      string
+	ip        string
+	front     string
+	ready     string
+	control   string
+	directory string
+	settings  string
+	cmd       *exec.Cmd
+	done      chan struct{}
 }
 
 // addInstances adds machines to the site and writes their settings. Nothing starts yet.
@@ -103,12 +106,16 @@
 func (site *site) addInstances(machines [][2]string) {
 	var seeds []string
 	isSeeded := make(map[string]bool)
+	ports := site.freePorts(len(machines))
 	for number, machine := range machines {
 		ip := site.loopback(1 + number)
-		instance := &instance{site: site, name: machine[0], zone: machine[1], ip: ip, front: ip + ":8104", ready: ip + ":8108"}
+		instance := &instance{
+			site: site, name: machine[0], zone: machine[1], ip: ip,
+			front: ip + ports[0], ready: ip + ports[1], control: ip + ports[2], directory: ip + ports[3],
+		}
 		if !isSeeded[instance.zone] {
 			isSeeded[instance.zone] = true
-			seeds = append(seeds, ip+":8106")
+			seeds = append(seeds, instance.control)
 		}
 		site.instances = append(site.instances, instance)
 	}
@@ -124,11 +131,49 @@
 	}
 }
 
+// portsNeeded is the number of ports of a machine that the settings name.
+const portsNeeded = 4
+
+// freePorts returns ports, each with a colon before it, that are free on all machines.
+func (site *site) freePorts(machines int) []string {
+	var ports []string
+	for range 1_000 {
+		// Below the ports that the kernel assigns to outgoing connections.
+		port := fmt.Sprintf(":%d", 10_000+rand.IntN(20_000))
+		if !slices.Contains(ports, port) && site.isFree(port, machines) {
+			ports = append(ports, port)
+		}
+		if len(ports) == portsNeeded {
+			return ports
+		}
+	}
+	site.fail("no free ports")
+	return nil
+}
+
+// isFree reports whether the port can be bound on each machine, for TCP and for UDP.
+func (site *site) isFree(port string, machines int) bool {
+	for number := range machines {
+		address := site.loopback(1+number) + port
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+		socket, err := net.ListenPacket("udp", address)
+		if err != nil {
+			return false
+		}
+		_ = socket.Close()
+	}
+	return true
+}
+
 // fields returns the settings that the platform knows of a machine, as its pages list them.
 func (instance *instance) fields(seeds []string) map[string]any {
 	return map[string]any{
 		"node_name": instance.name, "zone": instance.zone, "region": "muscat", "ip": instance.ip, "seeds": seeds,
-		"listen_addrs": map[string]any{"front": instance.front, "readiness": instance.ready, "control": instance.ip + ":8106", "directory": instance.ip + ":8100"},
+		"listen_addrs": map[string]any{"front": instance.front, "readiness": instance.ready, "control": instance.control, "directory": instance.directory},
 		"limits":       map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": memoryMB, "max_fds": 4100},
 		"bounds":       map[string]any{"config_apply_ms": 3000, "retry_ratio": 0.2, "retry_slack": retrySlack, "retry_window_s": 10, "drain_ms": 3000, "grace_s": 6},
 		"platform":     map[string]any{"address": instance.site.storeAddr},
