--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -35,6 +37,7 @@
 	}
 	site := newSite(os.Args[2])
 	time.AfterFunc(maxTime, func() { site.fail("the case takes too long") })
+	go site.awaitSignal()
 	broken := cases[os.Args[1]](site, os.Getenv("TROUBLE") != "0")
 	if broken != "" {
 		site.record("BROKEN: %s", broken)
@@ -49,3 +52,10 @@
 	fmt.Println("held")
 	os.Exit(exitHeld)
 }
+
+// awaitSignal ends the case, with all that it started, when it is told to stop.
+func (site *site) awaitSignal() {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	site.fail("stopped by %v", <-stop)
+}
--- a/review/drill/refused.go
+++ b/review/drill/refused.go
@@ -9,10 +9,13 @@
 // orderRoute is a route whose requests must not run twice.
 var orderRoute = route{Name: "r-order", Host: callerHost, Prefix: "/order/", Type: "unsafe", TimeoutMS: 6000, TargetLatencyMS: 400, Priority: 2, Service: "ledger", MaxAttempts: 2}
 
-// failingPart is the part of the requests that the failing replicas fail: one in failingPart.
-const failingPart = 3
+const (
+	// failingReplicas of the three replicas fail one in failingPart of their requests.
+	failingReplicas = 2
+	failingPart     = 3
+)
 
-// playRefused sends unsafe requests to replicas that fail part of them with status 503,
+// playRefused sends unsafe requests to replicas, two of which fail part of them with status 503,
 // after they have run them and without the header that says that they have not. The
 // callers repeat a request, under a new identity, after a promise only.
 func playRefused(site *site, isTroubled bool) string {
@@ -21,7 +24,7 @@
 		replica := site.startReplica(fmt.Sprintf("i-%d", number), "ledger", smallSite[number*3][1], 3, 20*time.Millisecond)
 		count := 0
 		replica.setAnswer(func(writer http.ResponseWriter, run run) {
-			if count++; isTroubled && count%failingPart == 0 {
+			if count++; isTroubled && number < failingReplicas && count%failingPart == 0 {
 				site.record("replica %s has run %s and fails it with 503", replica.id, run.request)
 				writer.WriteHeader(http.StatusServiceUnavailable)
 				return
--- a/review/drill/site.go
+++ b/review/drill/site.go
@@ -53,6 +53,12 @@
 		fail("%v", err)
 	}
 	site := &site{start: time.Now(), folder: folder, network: 20 + rand.IntN(200), store: newStore(), log: log}
+	for tries := 0; !site.isFree(operatorPort, len(smallSite)); tries++ {
+		if tries == 100 {
+			site.fail("port %s is free in no network", operatorPort)
+		}
+		site.network = 20 + rand.IntN(200)
+	}
 	listener, err := net.Listen("tcp", site.loopback(250)+":0")
 	if err != nil {
 		fail("listen for store: %v", err)
@@ -131,6 +137,9 @@
 	}
 }
 
+// operatorPort is the port that the template of the settings names.
+const operatorPort = ":9464"
+
 // portsNeeded is the number of ports of a machine that the settings name.
 const portsNeeded = 4
 
