command/control: a listing also removes what peers still hold

Cause: removals were inferred only from the documents held at the time of the listing; a restarted process holds none, and a peer's copy older than the listing counted as new. The control state now keeps the version of its last complete listing. An older copy of a peer whose key the listing lacked is removed with the version of the listing, and peers are told. Ruled out: a dropped listing (staleAnswers 0), a listing that fails.

--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -67,6 +67,11 @@
 		StaleAnswers: state.StaleAnswers,
 		Era:          state.Era,
 		PendingCount: len(state.PendingDocuments),
+
+		PlatformKnownSince: state.PlatformKnownSince,
+		PlatformReturnedAt: state.PlatformReturnedAt,
+		HeldBackRemovals:   heldBackRemovals(state),
+		RemovalCounts:      maps.Clone(state.RemovalCounts),
 	}
 }
 
--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -161,6 +161,7 @@
 	if effects.HeldBackCount > 0 {
 		control.logger.Info("documents held back until their keys are written again", zap.Int("count", effects.HeldBackCount), zap.Uint64("era", control.state.Era))
 	}
+	control.logRemovals(effects.Removals)
 	if effects.hasGossip() {
 		control.logChanges(effects.Gossip)
 		control.peerCalls.SendGossip(effects.Gossip)
@@ -222,6 +223,22 @@
 // maxLoggedMembers bounds the names in one log line.
 const maxLoggedMembers = 16
 
+// maxLoggedRemovals bounds the removals that are logged at once.
+const maxLoggedRemovals = 64
+
+// logRemovals logs by which rule removals were decided, and since when the platform had
+// been available then.
+func (control *Control) logRemovals(removals []Removal) {
+	steadySince := steadySince(control.state)
+	for _, removal := range removals[:min(len(removals), maxLoggedRemovals)] {
+		control.logger.Info("removal decided", zap.String("key", removal.Document.Key), zap.Uint64("revision", removal.Document.Revision), zap.Uint64("era", removal.Document.Era),
+			zap.String("rule", string(removal.Rule)), zap.Bool("fromListing", removal.IsInferred), zap.Duration("platformSteadyFor", time.Since(steadySince)))
+	}
+	if omitted := len(removals) - maxLoggedRemovals; omitted > 0 {
+		control.logger.Info("further removals decided", zap.Int("count", omitted))
+	}
+}
+
 // logChanges logs changes that this instance learned or detected.
 func (control *Control) logChanges(gossip api.Gossip) {
 	for _, member := range gossip.Members {
--- a/internal/command/control/effects.go
+++ b/internal/command/control/effects.go
@@ -24,6 +24,8 @@
 	IsEraRaised bool
 	// HeldBackCount is the number of documents that became pending.
 	HeldBackCount int
+	// Removals holds the decisions about removals, to be logged.
+	Removals []Removal
 }
 
 // merge adds the actions of other.
@@ -35,6 +37,7 @@
 	effects.EndRefresh = effects.EndRefresh || other.EndRefresh
 	effects.IsEraRaised = effects.IsEraRaised || other.IsEraRaised
 	effects.HeldBackCount += other.HeldBackCount
+	effects.Removals = append(effects.Removals, other.Removals...)
 	effects.Gossip.Merge(other.Gossip)
 }
 
--- a/internal/command/control/era_test.go
+++ b/internal/command/control/era_test.go
@@ -26,10 +26,13 @@
 	return decoded
 }
 
-// missing returns the message about a key that a listing of all documents lacks.
-func missing(key string, era, revision uint64) message.DocumentReceived {
-	document := api.Document{Key: key, Era: era, Revision: revision, IsDeleted: true}
-	return message.DocumentReceived{Decoded: api.DecodedDocument{Document: document}, IsInferred: true}
+// listed returns the message about a listing of all documents that has the given keys.
+func listed(era, revision uint64, keys ...string) message.ListingReceived {
+	received := message.ListingReceived{Version: api.Version{Era: era, Revision: revision}, Keys: make(map[string]bool)}
+	for _, key := range keys {
+		received.Keys[key] = true
+	}
+	return received
 }
 
 // numberedEntry returns the entry of a replica's process with the writer's number.
@@ -79,12 +82,12 @@
 		},
 		"the copy lacks an entry": {
 			key:      "key",
-			messages: []message.Message{receive(written("key", 1, 900, "x")), missing("key", 2, 850)},
+			messages: []message.Message{receive(written("key", 1, 900, "x")), listed(2, 850)},
 			wantSoon: at(1, 900), wantLater: at(2, 850),
 		},
 		"the copy lacks an entry that is registered again": {
 			key:      "key",
-			messages: []message.Message{receive(written("key", 1, 900, "x")), missing("key", 2, 850), receive(written("key", 2, 851, "x"))},
+			messages: []message.Message{receive(written("key", 1, 900, "x")), listed(2, 850), receive(written("key", 2, 851, "x"))},
 			wantSoon: at(2, 851), wantLater: at(2, 851),
 		},
 		"the copy holds a removed entry": {
@@ -94,7 +97,7 @@
 		},
 		"the copy lacks the configuration": {
 			key:      "config",
-			messages: []message.Message{receive(numbered(1, 900, 7)), missing("config", 2, 850)},
+			messages: []message.Message{receive(numbered(1, 900, 7)), listed(2, 850)},
 			wantSoon: at(1, 900), wantLater: at(1, 900),
 		},
 		"the copy holds an older configuration": {
@@ -127,7 +130,7 @@
 		"twice within a second, the configuration written again in between": {
 			key: "config",
 			messages: []message.Message{
-				receive(numbered(1, 900, 7)), receive(numbered(2, 850, 5)), receive(numbered(2, 860, 7)), missing("config", 3, 840), receive(numbered(3, 841, 7)),
+				receive(numbered(1, 900, 7)), receive(numbered(2, 850, 5)), receive(numbered(2, 860, 7)), listed(3, 840), receive(numbered(3, 841, 7)),
 			},
 			wantSoon: at(3, 841), wantLater: at(3, 841),
 		},
@@ -184,7 +187,7 @@
 	for _, decoded := range []api.DecodedDocument{numbered(2, 850, 5), written("kept", 2, 800, "x"), numbered(2, 860, 7)} {
 		control.Apply(connected, message.DocumentReceived{Decoded: decoded}, start)
 	}
-	control.Apply(connected, missing("lost", 2, 850), start)
+	control.Apply(connected, listed(2, 850, "config", "kept"), start)
 	control.Apply(connected, message.Ticked{}, start.Add(3*time.Second))
 	exchange(connected, cutOff, start.Add(4*time.Second))
 	control.Apply(cutOff, message.Ticked{}, start.Add(8*time.Second))
@@ -279,7 +282,7 @@
 	if kind == 1 {
 		decoded.RefusalReason = "broken"
 	}
-	return message.DocumentReceived{Decoded: decoded, MayHaveLapsed: kind == 0 && rapid.Bool().Draw(t, "lapsed")}
+	return message.DocumentReceived{Decoded: decoded, IsFromPlatform: kind == 0 && rapid.Bool().Draw(t, "fromPlatform")}
 }
 
 // applyInTime applies documents with random delays in between, and returns the sum of
--- a/internal/command/control/pending.go
+++ b/internal/command/control/pending.go
@@ -18,33 +18,39 @@
 	DueAt time.Time
 }
 
-// holdBackTime is how long a pending document is held back. Live instances and the
-// operator write again within about two seconds after the platform is back.
-const holdBackTime = 2500 * time.Millisecond
+// holdBackTime is how long an older content of a restored store is held back. The
+// operator and live instances write again within about two seconds.
+const holdBackTime = registrationTime
 
 // receiveDocument applies a document, or holds it back if its key may be written
-// again. In a new era, a configuration that the listing lacks stays in force until it
-// is written again.
+// again.
 func receiveDocument(state *State, received message.DocumentReceived, now time.Time) Effects {
 	decoded := received.Decoded
+	effects := learnEra(state, decoded.Document.Era, now)
 	inForce, isKnown := state.DocumentsInForce[decoded.Document.Key]
 	isNewEra := isKnown && decoded.Document.Era > inForce.Document.Era
-	effects := learnEra(state, decoded.Document.Era)
 	switch {
-	case isNewEra && received.IsInferred && isConfiguration(inForce):
-	case received.MayHaveLapsed, isNewEra && received.IsInferred, isNewEra && mayBeOutdated(state, inForce, decoded):
-		effects.merge(holdBack(state, decoded, now))
+	case received.IsFromPlatform && decoded.Document.IsDeleted:
+		effects.merge(receiveRemoval(state, inForce, decoded, false, now))
+	case !received.IsFromPlatform && isUnlisted(state, decoded.Document):
+		effects.merge(receiveRemoval(state, decoded, inferredDeletion(decoded.Document.Key, state.ListedVersion), true, now))
+	case isNewEra && mayBeOutdated(state, inForce, decoded):
+		effects.merge(holdBack(state, decoded, now.Add(holdBackTime)))
 	default:
 		effects.merge(applyDocument(state, decoded))
 	}
 	return effects
 }
 
-// learnEra records the era of the platform's store, if it is the highest one known.
-func learnEra(state *State, era uint64) Effects {
+// learnEra records the era of the platform's store, if it is the highest one known. A
+// store in a higher era than before was unavailable until now.
+func learnEra(state *State, era uint64, now time.Time) Effects {
 	if era <= state.Era {
 		return Effects{}
 	}
+	if state.Era > 0 || !state.PlatformAnsweredAt.IsZero() {
+		state.PlatformReturnedAt = now
+	}
 	state.Era = era
 	return Effects{PublishStats: true, IsEraRaised: true}
 }
@@ -91,10 +97,10 @@
 	return cmp.Compare(first.Sequence, second.Sequence), first.Sequence > 0 && second.Sequence > 0
 }
 
-// holdBack makes a document pending that is newer than the one in force and than a
-// pending one. A document of the same era as the pending one replaces it without
+// holdBack makes a document pending until dueAt that is newer than the one in force and
+// than a pending one. A document of the same era as the pending one replaces it without
 // further delay.
-func holdBack(state *State, decoded api.DecodedDocument, now time.Time) Effects {
+func holdBack(state *State, decoded api.DecodedDocument, dueAt time.Time) Effects {
 	document := decoded.Document
 	pendingdocument, isPending := state.PendingDocuments[document.Key]
 	pending := pendingdocument.Decoded.Document
@@ -102,7 +108,6 @@
 	if !document.Version().After(known) {
 		return Effects{}
 	}
-	dueAt := now.Add(holdBackTime)
 	if isPending && pending.Era == document.Era {
 		dueAt = pendingdocument.DueAt
 	}
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -83,6 +83,14 @@
 	Replicas map[string]*view.Replica
 	// PlatformAnsweredAt is the time of the latest known answer of the platform.
 	PlatformAnsweredAt time.Time
+	// PlatformKnownSince is the time of the first known answer of the platform, and
+	// PlatformReturnedAt the end of its latest known outage; zero if none is known.
+	PlatformKnownSince, PlatformReturnedAt time.Time
+	// ListedVersion is the version of the latest listing of all documents that this
+	// instance has read. An older document that it lacked has been removed.
+	ListedVersion api.Version
+	// RemovalCounts counts the decisions about removals.
+	RemovalCounts map[view.RemovalRule]int64
 	// StaleAnswers counts the platform's answers with an outdated version.
 	StaleAnswers int64
 	// Era is the highest known era of the platform's store.
@@ -174,6 +182,7 @@
 		RefusedDocuments: make(map[string]api.DecodedDocument),
 		Members:          map[string]Member{self.Instance.Name: {Member: self, LearnedAt: now}},
 		PendingDocuments: make(map[string]PendingDocument),
+		RemovalCounts:    make(map[view.RemovalRule]int64),
 		LeavingReplicas:  make(map[api.LeavingReplica]time.Time),
 		StoppedHomes:     make(map[api.StoppedHome]time.Time),
 		SnapshotReports:  make(map[string]message.ReplicaSnapshotsReported),
@@ -187,6 +196,8 @@
 	switch received := received.(type) {
 	case message.DocumentReceived:
 		return receiveDocument(state, received, now)
+	case message.ListingReceived:
+		return applyListing(state, received, now)
 	case message.ConfigurationReceived:
 		return applyConfigurationReceived(state, received)
 	case message.ConfigurationAnnounced:
@@ -194,7 +205,7 @@
 	case message.MembersReceived:
 		return settle(state)
 	case message.PlatformAnswered:
-		return applyPlatformAnswered(state, received)
+		return applyPlatformAnswered(state, received, now)
 	case message.StaleAnswerReceived:
 		state.StaleAnswers++
 		return Effects{PublishStats: true}
@@ -319,8 +330,14 @@
 
 // applyPlatformAnswered records the era of an answer of the platform, and its time if
 // it is the latest one known.
-func applyPlatformAnswered(state *State, answered message.PlatformAnswered) Effects {
-	effects := learnEra(state, answered.Era)
+func applyPlatformAnswered(state *State, answered message.PlatformAnswered, now time.Time) Effects {
+	effects := learnEra(state, answered.Era, now)
+	if answered.IsAfterFailure {
+		state.PlatformReturnedAt = answered.AnsweredAt
+	}
+	if state.PlatformKnownSince.IsZero() {
+		state.PlatformKnownSince = answered.AnsweredAt
+	}
 	if answered.AnsweredAt.After(state.PlatformAnsweredAt) {
 		state.PlatformAnsweredAt = answered.AnsweredAt
 		effects.PublishStats = true
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -33,10 +33,6 @@
 	peerPollInterval = 5 * time.Millisecond
 	minBackoff       = 100 * time.Millisecond
 	maxBackoff       = time.Second
-	// registrationTime is how long after the service answers again the entry of a
-	// live instance may still be missing. Instances register again within about
-	// two seconds.
-	registrationTime = 2500 * time.Millisecond
 )
 
 // Store is the platform's configuration service at one address.
@@ -71,9 +67,6 @@
 	version api.Version
 	// backoff is the longest wait after the next call that fails.
 	backoff time.Duration
-	// mayHaveLapsedUntil is the time until which a removed document may be of a
-	// live instance, whose registration expired while the service was unreachable.
-	mayHaveLapsedUntil time.Time
 	// isFailing is set if the latest call failed.
 	isFailing bool
 	// startedAt is when the reader was created.
@@ -84,15 +77,14 @@
 // reads from one of them at a time and sends the documents to control.
 func NewReader[S Store](stores []S, parse func(api.Document) api.DecodedDocument, settings settings.Reading, control *control.Control, logger *zap.Logger) *Reader[S] {
 	return &Reader[S]{
-		ParseDocument:      parse,
-		Settings:           settings,
-		currentView:        control.CurrentView,
-		mailbox:            control.Mailbox,
-		logger:             logger,
-		stores:             stores,
-		backoff:            minBackoff,
-		mayHaveLapsedUntil: time.Now().Add(registrationTime),
-		startedAt:          time.Now(),
+		ParseDocument: parse,
+		Settings:      settings,
+		currentView:   control.CurrentView,
+		mailbox:       control.Mailbox,
+		logger:        logger,
+		stores:        stores,
+		backoff:       minBackoff,
+		startedAt:     time.Now(),
 	}
 }
 
@@ -158,7 +150,7 @@
 	if known := api.Latest(reader.version, newestVersion(current), knownEra); known.After(changes.Version()) {
 		return reader.rejectStale(ctx, changes.Version(), known)
 	}
-	if err := reader.mailbox.Send(ctx, message.PlatformAnswered{AnsweredAt: time.Now(), Era: changes.Era}); err != nil {
+	if err := reader.mailbox.Send(ctx, message.PlatformAnswered{AnsweredAt: time.Now(), Era: changes.Era, IsAfterFailure: reader.isFailing}); err != nil {
 		return err
 	}
 	if isListing && changes.Era > 0 {
@@ -205,7 +197,6 @@
 
 // observeEra records an era that the store or a peer stated. It reports whether the era
 // is higher than that of the changes read so far, which must then be read anew.
-// Instances whose leases the store lost have registrationTime to register again.
 func (reader *Reader[S]) observeEra(era uint64) bool {
 	if era <= reader.version.Era {
 		return false
@@ -215,60 +206,38 @@
 			zap.Uint64("era", era), zap.Uint64("previousEra", reader.version.Era), zap.Uint64("previousRevision", reader.version.Revision))
 	}
 	reader.version = api.Version{Era: era}
-	reader.mayHaveLapsedUntil = time.Now().Add(registrationTime)
 	return true
 }
 
-// sendDocuments sends control the documents that changed or were removed.
+// sendDocuments sends control the documents that changed, and the keys of a complete
+// listing, from which control infers removals.
 func (reader *Reader[S]) sendDocuments(ctx context.Context, changes api.Changes) error {
 	current := reader.currentView.Load()
+	listing := message.ListingReceived{Version: changes.Version(), Keys: make(map[string]bool)}
 	for _, document := range changes.Documents {
-		if err := reader.sendDocument(ctx, current, document, false); err != nil {
+		listing.Keys[document.Key] = true
+		if err := reader.sendDocument(ctx, current, document); err != nil {
 			return err
 		}
 	}
 	if !changes.IsComplete {
 		return nil
 	}
-	for _, document := range RemovedDocuments(current, changes) {
-		if err := reader.sendDocument(ctx, current, document, true); err != nil {
-			return err
-		}
-	}
-	return nil
+	return reader.mailbox.Send(ctx, listing)
 }
 
 // sendDocument sends control a document, unless current shows that control knows it.
-// isInferred is set on a deletion that follows only from a listing.
-func (reader *Reader[S]) sendDocument(ctx context.Context, current *view.View, document api.Document, isInferred bool) error {
+func (reader *Reader[S]) sendDocument(ctx context.Context, current *view.View, document api.Document) error {
 	if !document.Version().After(current.KnownVersion(document.Key)) {
 		return nil
 	}
-	mayHaveLapsed := reader.isFailing || time.Now().Before(reader.mayHaveLapsedUntil)
-	received := message.DocumentReceived{Decoded: reader.ParseDocument(document), MayHaveLapsed: document.IsDeleted && mayHaveLapsed, IsInferred: isInferred}
+	received := message.DocumentReceived{Decoded: reader.ParseDocument(document), IsFromPlatform: true}
 	if ignored := received.Decoded.IgnoredReason; ignored != "" {
 		reader.logger.Info("document names nothing to use", zap.String("key", document.Key), zap.Uint64("revision", document.Revision), zap.String("reason", ignored))
 	}
 	return reader.mailbox.Send(ctx, received)
 }
 
-// RemovedDocuments returns, as deleted documents, those that current holds but a
-// listing of all documents lacks. One that is not older than the listing does not
-// count as removed.
-func RemovedDocuments(current *view.View, listing api.Changes) []api.Document {
-	listed := make(map[string]bool, len(listing.Documents))
-	for _, document := range listing.Documents {
-		listed[document.Key] = true
-	}
-	var removed []api.Document
-	for key, document := range current.DocumentsInForce {
-		if !listed[key] && !document.IsDeleted && listing.Version().After(document.Version()) {
-			removed = append(removed, api.Document{Key: key, Era: listing.Era, Revision: listing.Revision, IsDeleted: true})
-		}
-	}
-	return removed
-}
-
 // newestVersion returns the newest version that this instance holds, from the platform
 // or from peers.
 func newestVersion(current *view.View) api.Version {
@@ -290,15 +259,13 @@
 	return &StaleError{Peer: reader.stores[reader.storeIndex].Peer(), Version: version, KnownVersion: known}
 }
 
-// recordSuccess resets the backoff after a call that succeeded. If the calls before
-// it failed, instances now have registrationTime to register again.
+// recordSuccess resets the backoff after a call that succeeded.
 func (reader *Reader[S]) recordSuccess() {
 	reader.backoff = minBackoff
 	if !reader.isFailing {
 		return
 	}
 	reader.isFailing = false
-	reader.mayHaveLapsedUntil = time.Now().Add(registrationTime)
 	reader.logger.Info("platform answers again", zap.String("peer", reader.stores[reader.storeIndex].Peer()))
 }
 
--- a/internal/process/instance/gauges.go
+++ b/internal/process/instance/gauges.go
@@ -7,6 +7,9 @@
 	gauges := map[string]func(current *view.View) int64{
 		"platform.era":              func(current *view.View) int64 { return int64(current.Era) },
 		"platform.pendingDocuments": func(current *view.View) int64 { return int64(current.PendingCount) },
+		"removals.applied":          func(current *view.View) int64 { return current.RemovalCounts[view.RemovalApplied] },
+		"removals.heldBack":         func(current *view.View) int64 { return current.RemovalCounts[view.RemovalHeldBack] },
+		"removals.lostByStore":      func(current *view.View) int64 { return current.RemovalCounts[view.RemovalLost] },
 		"members.serving":           func(current *view.View) int64 { return int64(current.ServingCount()) },
 		"members.overloaded":        func(current *view.View) int64 { return int64(current.OverloadedCount()) },
 		"retries.senders":           func(current *view.View) int64 { return int64(len(current.Senders.Names)) },
--- a/internal/query/operator/operator.go
+++ b/internal/query/operator/operator.go
@@ -45,11 +45,13 @@
 	StaleAnswers int64 `json:"staleAnswers"`
 	// Era is the highest known era of the platform's store, and PendingDocuments the
 	// number of documents that are held back until their keys may be written again.
-	Era              uint64           `json:"era,omitempty"`
-	PendingDocuments int              `json:"pendingDocuments,omitempty"`
-	Keys             []view.KeyStatus `json:"keys"`
-	Members          []MemberStatus   `json:"members"`
-	Indexes          []IndexStatus    `json:"indexes"`
+	Era              uint64 `json:"era,omitempty"`
+	PendingDocuments int    `json:"pendingDocuments,omitempty"`
+	// HeldBackRemovals describes the removals among them.
+	HeldBackRemovals []view.HeldBackRemoval `json:"heldBackRemovals,omitempty"`
+	Keys             []view.KeyStatus       `json:"keys"`
+	Members          []MemberStatus         `json:"members"`
+	Indexes          []IndexStatus          `json:"indexes"`
 	// LeavingReplicas names the replicas that are known to be draining.
 	LeavingReplicas []string `json:"leavingReplicas,omitempty"`
 	// EvacuatedDomains names the failure domains whose replicas are not used.
@@ -148,6 +150,7 @@
 	}
 	slices.Sort(status.LeavingReplicas)
 	status.EvacuatedDomains = current.EvacuatedDomains
+	status.HeldBackRemovals = current.HeldBackRemovals
 	status.PacedReplicas = pacedReplicas(current, view.MonotonicNow())
 	return status
 }
@@ -215,6 +218,9 @@
 	// Evacuated names the replicas that are not used because their failure domain is
 	// evacuated.
 	Evacuated []string `json:"evacuated,omitempty"`
+	// HeldBack names the replicas that are used although the store lacks their entries,
+	// which may be written again.
+	HeldBack []string `json:"heldBack,omitempty"`
 }
 
 func (handler *Handler) getExplain(writer http.ResponseWriter, request *http.Request) {
@@ -245,19 +251,28 @@
 		Snapshot:  current.Indexes[scope.Scope.Index].Snapshot,
 		Shards:    []ShardExplanation{},
 	}
+	heldBack := make(map[string]bool)
+	for _, removal := range current.HeldBackRemovals {
+		for _, replica := range removal.Replicas {
+			heldBack[replica] = true
+		}
+	}
 	for _, shard := range selection.Shards {
-		explanation.Shards = append(explanation.Shards, explainShard(shard))
+		explanation.Shards = append(explanation.Shards, explainShard(shard, heldBack))
 	}
 	return explanation, nil
 }
 
-func explainShard(shard view.Shard) ShardExplanation {
+func explainShard(shard view.Shard, heldBack map[string]bool) ShardExplanation {
 	explanation := ShardExplanation{Name: shard.Name, Epoch: shard.Epoch, Upstream: shard.Upstream.Name, Replicas: []string{}}
 	for _, replica := range shard.Replicas {
 		explanation.Replicas = append(explanation.Replicas, replica.Instance.Name)
 		if replica.Stats.IsEvacuated.Load() {
 			explanation.Evacuated = append(explanation.Evacuated, replica.Instance.Name)
 		}
+		if heldBack[replica.Instance.Name] {
+			explanation.HeldBack = append(explanation.HeldBack, replica.Instance.Name)
+		}
 	}
 	return explanation
 }
--- a/internal/state/message/message.go
+++ b/internal/state/message/message.go
@@ -14,12 +14,17 @@
 // DocumentReceived reports a document that the platform or a peer sent.
 type DocumentReceived struct {
 	Decoded api.DecodedDocument
-	// MayHaveLapsed is set on a deletion that may only mean that the lease of an
-	// entry expired while the platform was unavailable.
-	MayHaveLapsed bool
-	// IsInferred is set on a deletion that follows only from a listing of all
-	// documents, which lacks the key.
-	IsInferred bool
+	// IsFromPlatform is set if the platform sent the document to this instance.
+	IsFromPlatform bool
+}
+
+// ListingReceived reports that every document of a listing of all documents has been
+// sent as DocumentReceived.
+type ListingReceived struct {
+	// Version is the store's version at the time of the listing.
+	Version api.Version
+	// Keys holds the keys of the listing.
+	Keys map[string]bool
 }
 
 // ConfigurationReceived reports that every document which the platform, or a
@@ -45,6 +50,9 @@
 	AnsweredAt time.Time
 	// Era is the store's era; 0 if it is not known.
 	Era uint64
+	// IsAfterFailure is set on the first answer after calls of this instance that
+	// failed.
+	IsAfterFailure bool
 }
 
 // StaleAnswerReceived reports that the platform answered with an older version
@@ -107,6 +115,7 @@
 }
 
 func (DocumentReceived) message()         {}
+func (ListingReceived) message()          {}
 func (ConfigurationReceived) message()    {}
 func (ConfigurationAnnounced) message()   {}
 func (MembersReceived) message()          {}
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -80,6 +80,14 @@
 	// this instance knows of. It received the answer itself or learned of it from
 	// a peer.
 	PlatformAnsweredAt time.Time
+	// PlatformKnownSince is the time of the first answer of the platform that this
+	// instance knows of, and PlatformReturnedAt the end of the latest outage that it
+	// knows of; zero if there is none.
+	PlatformKnownSince, PlatformReturnedAt time.Time
+	// HeldBackRemovals holds the removals that are not in force yet, sorted by key.
+	HeldBackRemovals []HeldBackRemoval
+	// RemovalCounts counts the decisions about removals since the start.
+	RemovalCounts map[RemovalRule]int64
 	// EvacuatedDomains holds the names of the failure domains whose replicas must not
 	// be used, sorted.
 	EvacuatedDomains []string
