command/upstream: an unproven refusal of a replica is not passed on for a command

Cause: a replica's response with an error status was passed on as it was, also 503, 429 and 408, which promise 'not run' to the caller. Ruled out: a second offer by the instance (each command ran once), refusals of our own.

--- a/internal/command/upstream/relayer.go
+++ b/internal/command/upstream/relayer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,6 +12,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/choice"
 	"github.com/mimosaspring/mimosaspring/internal/state/mailbox"
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
+	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 	"github.com/mimosaspring/mimosaspring/internal/wire/http"
@@ -32,6 +34,7 @@
 	CurrentView *view.PublishedView
 	Mailbox     *mailbox.Mailbox[message.Message]
 	Budget      *budget.Budget
+	Metrics     *metrics.Metrics
 }
 
 // RelayedCommand is a non-idempotent request that is passed to one replica unchanged.
@@ -214,5 +217,11 @@
 	}
 	reason := "replica " + replica.Instance.Name + " failed the command"
 	answer := api.Answer{Outcome: api.OutcomeUnknown, Reason: reason, Response: reply.Response}
+	if http.PromisesNotRun(reply.Response.StatusCode) {
+		// The caller would repeat the command, which may have run.
+		answer.Reason += " with status " + strconv.Itoa(reply.Response.StatusCode) + ", which does not prove that it has not run"
+		answer.Response = nil
+		relayer.Metrics.Add("commands.unprovenRefusals", 1)
+	}
 	return attemptOutcome{answer: answer, isFinal: true, isSent: true}
 }
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -279,6 +279,7 @@
 		CurrentView: instance.control.CurrentView,
 		Mailbox:     instance.control.Mailbox,
 		Budget:      instance.budget,
+		Metrics:     instance.metrics,
 	}
 	return &commandcaller.Relay{Send: relayer.Send, IsOrdered: instance.settings.Schedule.OrderByUrgency}
 }
--- a/internal/standin/upstream/config.go
+++ b/internal/standin/upstream/config.go
@@ -45,6 +45,8 @@
 	HideLeaving bool `json:"hideLeaving"`
 	// FailAll runs requests and reports each as failed.
 	FailAll bool `json:"fail"`
+	// FailStatus replaces the status code 500 of failed requests; 0 leaves it.
+	FailStatus int `json:"failStatus"`
 	// AnnounceLeaving states in the answers to relayed requests that the replica is
 	// leaving, while it still runs them.
 	AnnounceLeaving bool `json:"announceLeaving"`
--- a/internal/standin/upstream/relay.go
+++ b/internal/standin/upstream/relay.go
@@ -134,6 +134,7 @@
 		time.Sleep(faults.ReplyDelay)
 	}
 	writer.Header().Set(wire.DefaultHeaderNames.Signature, RelayedSignature(replica.Name, identity))
+	writer = &failureWriter{ResponseWriter: writer, status: faults.FailStatus}
 	body := RelayedBody(replica.onlyShard(), identity)
 	switch {
 	case status != api.ReplyDone:
--- a/internal/standin/upstream/replica.go
+++ b/internal/standin/upstream/replica.go
@@ -157,7 +157,22 @@
 		writer = &truncatingWriter{ResponseWriter: writer}
 		defer panic(http.ErrAbortHandler)
 	}
-	wire.WriteReply(writer, reply)
+	wire.WriteReply(&failureWriter{ResponseWriter: writer, status: faults.FailStatus}, reply)
+}
+
+// failureWriter replaces the status code 500.
+type failureWriter struct {
+	http.ResponseWriter
+	// status is the status code in place of 500; 0 leaves it.
+	status int
+}
+
+// WriteHeader writes the status code, or the one in its place.
+func (failurewriter *failureWriter) WriteHeader(code int) {
+	if code == http.StatusInternalServerError && failurewriter.status != 0 {
+		code = failurewriter.status
+	}
+	failurewriter.ResponseWriter.WriteHeader(code)
 }
 
 // truncatingWriter drops the second half of a body.
--- a/internal/wire/http/status.go
+++ b/internal/wire/http/status.go
@@ -20,6 +20,16 @@
 	return nil
 }
 
+// PromisesNotRun reports whether an answer with the given status tells a caller that its
+// request has not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // checkInterim returns an error if an interim response states a length, although it has
 // no body. What follows its head would be taken for the next answer.
 func checkInterim(status int, header textproto.MIMEHeader) error {
