command/control, command/peer: instances tell each other whether the platform was away

Cause: a process that starts cannot know whether the store was away before, so that entries may only have lapsed, and assumed that at each start. Probes and syncs now carry since when the store is known to have answered and when it last was away; removals are held back until 2.5 s after the end of an outage that anybody knows of, or if nobody knows.

--- a/internal/command/control/outdated_test.go
+++ b/internal/command/control/outdated_test.go
@@ -111,8 +111,7 @@
 		t.Run(name, func(t *testing.T) {
 			state := newState("a")
 			control.Apply(state, message.DocumentReceived{Decoded: entry(5, 1, api.InstanceLive)}, start)
-			control.Apply(state, message.PlatformAnswered{AnsweredAt: start.Add(-10 * time.Second)}, start)
-			control.Apply(state, message.PlatformAnswered{AnsweredAt: start, IsAfterFailure: test.mayHaveLapsed}, start)
+			control.Apply(state, message.PlatformAnswered{AnsweredAt: start, KnownSince: start.Add(-10 * time.Second), IsAfterFailure: test.mayHaveLapsed}, start)
 			control.Apply(state, message.DocumentReceived{Decoded: removal(9), IsFromPlatform: true}, start)
 			if test.isRegisteredAgain {
 				control.Apply(state, message.DocumentReceived{Decoded: entry(11, 1, api.InstanceLive)}, start)
--- a/internal/command/control/pending.go
+++ b/internal/command/control/pending.go
@@ -116,11 +116,12 @@
 }
 
 // applyDueDocuments applies the pending documents whose keys were not written again in
-// time.
+// time, and the pending removals once the platform is known not to have been away.
 func applyDueDocuments(state *State, now time.Time) Effects {
 	var effects Effects
 	for key, pendingdocument := range state.PendingDocuments {
-		if now.After(pendingdocument.DueAt) {
+		isSteady := pendingdocument.Decoded.Document.IsDeleted && !mayHaveLapsed(state, now)
+		if isSteady || now.After(pendingdocument.DueAt) {
 			delete(state.PendingDocuments, key)
 			effects.merge(applyDocument(state, pendingdocument.Decoded))
 		}
--- a/internal/command/control/removal.go
+++ b/internal/command/control/removal.go
@@ -32,22 +32,6 @@
 	return view.RemovalApplied
 }
 
-// mayHaveLapsed reports whether a key may be missing only because its lease expired while
-// the store was unavailable, so that its owner is about to write it again.
-func mayHaveLapsed(state *State, now time.Time) bool {
-	steadySince := steadySince(state)
-	return steadySince.IsZero() || now.Sub(steadySince) < registrationTime
-}
-
-// steadySince returns the time since which the store is known to have been available
-// without an interruption; zero if it is not known to have answered.
-func steadySince(state *State) time.Time {
-	if state.PlatformReturnedAt.After(state.PlatformKnownSince) {
-		return state.PlatformReturnedAt
-	}
-	return state.PlatformKnownSince
-}
-
 // receiveRemoval applies the removal of a document that is known here, holds it back or
 // drops it. The parameter known is the document in force, or the one that a peer has.
 func receiveRemoval(state *State, known, deletion api.DecodedDocument, isInferred bool, now time.Time) Effects {
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -86,6 +86,10 @@
 	// PlatformKnownSince is the time of the first known answer of the platform, and
 	// PlatformReturnedAt the end of its latest known outage; zero if none is known.
 	PlatformKnownSince, PlatformReturnedAt time.Time
+	// OutageAfter is the time without a known answer of the platform after which it may
+	// have been unavailable. An instance that learns of no answer reads earlier than that
+	// itself.
+	OutageAfter time.Duration
 	// ListedVersion is the version of the latest listing of all documents that this
 	// instance has read. An older document that it lacked has been removed.
 	ListedVersion api.Version
@@ -175,6 +179,7 @@
 		memberJoinedAt: now,
 
 		ReadersPerFailureDomain: defaultReaders,
+		OutageAfter:             defaultOutageAfter,
 		ChooseServing:           peer.Serving[peer.AllMembers],
 		ChooseSenders:           peer.ChooseSenders[peer.AllMembers],
 
@@ -328,23 +333,6 @@
 	return Effects{RebuildConfiguration: true, RebuildRoles: true}
 }
 
-// applyPlatformAnswered records the era of an answer of the platform, and its time if
-// it is the latest one known.
-func applyPlatformAnswered(state *State, answered message.PlatformAnswered, now time.Time) Effects {
-	effects := learnEra(state, answered.Era, now)
-	if answered.IsAfterFailure {
-		state.PlatformReturnedAt = answered.AnsweredAt
-	}
-	if state.PlatformKnownSince.IsZero() {
-		state.PlatformKnownSince = answered.AnsweredAt
-	}
-	if answered.AnsweredAt.After(state.PlatformAnsweredAt) {
-		state.PlatformAnsweredAt = answered.AnsweredAt
-		effects.PublishStats = true
-	}
-	return effects
-}
-
 // applyLeavingReplica records that one incarnation of a replica is leaving.
 func applyLeavingReplica(state *State, leavingreplica api.LeavingReplica, now time.Time) Effects {
 	learnedAt, isExpired := learnTime(leavingreplica.AgeSeconds, leavingRetention, now)
--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -202,6 +202,7 @@
 		IsSettled:             current.IsSettled,
 		ConfigurationEra:      current.ConfigurationVersion.Era,
 		ConfigurationRevision: current.ConfigurationVersion.Revision,
+		Platform:              platformTimes(current),
 	}
 	for _, timestamped := range current.LeavingReplicas {
 		timestamped.Value.AgeSeconds = ageSeconds(timestamped.LearnedAt, now)
@@ -257,6 +258,10 @@
 	if reply.Sync == nil {
 		return nil
 	}
+	// Control decides by these times about documents that the store no longer has.
+	if err := peers.mailbox.Send(ctx, platformMessage(reply.Sync.Platform, time.Now())); err != nil {
+		return err
+	}
 	isComplete := peers.receiveDocuments(ctx, reply.Sync.Documents)
 	if isComplete && reply.Sync.IsConfigured {
 		version := api.Version{Era: reply.Sync.ConfigurationEra, Revision: reply.Sync.ConfigurationRevision}
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -236,6 +236,7 @@
 
 		ConfigurationEra:      current.ConfigurationVersion.Era,
 		ConfigurationRevision: current.ConfigurationVersion.Revision,
+		Platform:              platformTimes(current),
 	}}
 }
 
@@ -284,7 +285,7 @@
 		peers.mailbox.TrySend(message.PeerProbed{Name: probe.From, Load: probe.Load})
 	}
 	if probe.PlatformAgeMillis > 0 {
-		peers.observePlatform(time.Now().Add(-time.Duration(probe.PlatformAgeMillis)*time.Millisecond), current.PlatformAnsweredAt)
+		peers.observePlatform(probe, current)
 	}
 	if version := probe.ConfigurationVersion(); version.After(current.CoveredVersion) {
 		peers.mailbox.TrySend(configurationMessage(probe, current))
@@ -342,15 +343,46 @@
 	return now.Sub(digesttracker.unchangedSince)
 }
 
-// minPlatformAdvance is by how much a peer's last answer of the platform must be
-// newer than the latest known here before control is told. This limits the
-// messages to control.
+// minPlatformAdvance is by how much what a peer knows of the platform's answers must
+// exceed what is known here before control is told. This limits the messages to control.
 const minPlatformAdvance = 250 * time.Millisecond
 
-// observePlatform tells control that the platform answered a peer at answeredAt, if
-// that is sufficiently newer than knownAnsweredAt, the latest answer known here.
-func (peers *Peers) observePlatform(answeredAt, knownAnsweredAt time.Time) {
-	if answeredAt.Sub(knownAnsweredAt) > minPlatformAdvance {
-		peers.mailbox.TrySend(message.PlatformAnswered{AnsweredAt: answeredAt})
+// observePlatform tells control what the sender of probe knows of the platform's answers,
+// if its latest answer is sufficiently newer, or its first one sufficiently older, than
+// what is known here.
+func (peers *Peers) observePlatform(probe api.Probe, current *view.View) {
+	probe.Platform.AnsweredMillis = probe.PlatformAgeMillis
+	answered := platformMessage(probe.Platform, time.Now())
+	isNewer := answered.AnsweredAt.Sub(current.PlatformAnsweredAt) > minPlatformAdvance
+	isOlder := !answered.KnownSince.IsZero() && current.PlatformKnownSince.Sub(answered.KnownSince) > minPlatformAdvance
+	if isNewer || isOlder {
+		peers.mailbox.TrySend(answered)
+	}
+}
+
+// platformTimes returns what this instance knows of the platform's answers.
+func platformTimes(current *view.View) api.PlatformTimes {
+	return api.PlatformTimes{
+		Era:            current.Era,
+		AnsweredMillis: millisSince(current.PlatformAnsweredAt),
+		KnownMillis:    millisSince(current.PlatformKnownSince),
+		ReturnedMillis: millisSince(current.PlatformReturnedAt),
+	}
+}
+
+// platformMessage returns the message about what a peer knows of the platform's answers,
+// as received at now.
+func platformMessage(platformtimes api.PlatformTimes, now time.Time) message.PlatformAnswered {
+	timeAt := func(millis uint32) time.Time {
+		if millis == 0 {
+			return time.Time{}
+		}
+		return now.Add(-time.Duration(millis) * time.Millisecond)
+	}
+	return message.PlatformAnswered{
+		Era:        platformtimes.Era,
+		AnsweredAt: timeAt(platformtimes.AnsweredMillis),
+		KnownSince: timeAt(platformtimes.KnownMillis),
+		ReturnedAt: timeAt(platformtimes.ReturnedMillis),
 	}
 }
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -183,6 +183,7 @@
 		}
 	}
 	state.ReadersPerFailureDomain = instance.settings.Reading.ReadersPerFailureDomain
+	state.OutageAfter = instance.settings.Reading.OutageAfter()
 	state.PacesReplicas = instance.settings.Schedule.Pace
 	state.ColdOvershoot, state.ColdSlack = instance.settings.Schedule.ColdOvershoot, instance.settings.Schedule.ColdSlack
 	// Without a seed, there is no other instance to learn of but those that join.
--- a/internal/state/api/peer.go
+++ b/internal/state/api/peer.go
@@ -102,6 +102,8 @@
 	// documents of the configuration.
 	ConfigurationEra      uint64 `cbor:"8,keyasint,omitempty"`
 	ConfigurationRevision uint64 `cbor:"9,keyasint,omitempty"`
+	// Platform repeats PlatformAgeMillis, which peers of earlier versions read.
+	Platform PlatformTimes `cbor:"10,keyasint,omitzero"`
 }
 
 // ConfigurationVersion returns the newest version of the sender's documents of the
@@ -110,6 +112,19 @@
 	return Version{Era: probe.ConfigurationEra, Revision: probe.ConfigurationRevision}
 }
 
+// PlatformTimes states what an instance knows of the times at which the platform's store
+// answered, as their ages in milliseconds; 0 stands for no such time.
+type PlatformTimes struct {
+	// Era is the highest known era of the store.
+	Era uint64 `cbor:"1,keyasint,omitempty"`
+	// AnsweredMillis is the age of the latest known answer, and KnownMillis that of the
+	// first one.
+	AnsweredMillis uint32 `cbor:"2,keyasint,omitempty"`
+	KnownMillis    uint32 `cbor:"3,keyasint,omitempty"`
+	// ReturnedMillis is the age of the end of the latest known outage.
+	ReturnedMillis uint32 `cbor:"4,keyasint,omitempty"`
+}
+
 // Datagram is the content of one QUIC datagram between peers.
 type Datagram struct {
 	Probe *Probe `cbor:"1,keyasint,omitempty"`
@@ -140,6 +155,8 @@
 	// peer's documents of the configuration.
 	ConfigurationEra      uint64 `cbor:"7,keyasint,omitempty"`
 	ConfigurationRevision uint64 `cbor:"8,keyasint,omitempty"`
+	// Platform tells how old a removal may be that the requesting instance has missed.
+	Platform PlatformTimes `cbor:"9,keyasint,omitzero"`
 }
 
 // KeyedResult is the outcome of a command with an idempotency key, as its home
--- a/internal/state/message/message.go
+++ b/internal/state/message/message.go
@@ -44,12 +44,18 @@
 // MembersReceived reports that a settled peer sent all members that it knows.
 type MembersReceived struct{}
 
-// PlatformAnswered reports that the platform answered a request at the given
-// time.
+// PlatformAnswered reports that the platform answered a request of this instance, or what
+// a peer knows of its answers.
 type PlatformAnswered struct {
 	AnsweredAt time.Time
 	// Era is the store's era; 0 if it is not known.
 	Era uint64
+	// KnownSince is the time of the first answer that the sender knows of; zero if that
+	// is the one at AnsweredAt.
+	KnownSince time.Time
+	// ReturnedAt is the end of the latest outage that the sender knows of; zero if it
+	// knows of none.
+	ReturnedAt time.Time
 	// IsAfterFailure is set on the first answer after calls of this instance that
 	// failed.
 	IsAfterFailure bool
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -85,6 +85,16 @@
 	return time.Duration(staleFraction * float64(reading.InForceWithin.Duration))
 }
 
+// outageFraction is the fraction of InForceWithin that OutageAfter returns. It leaves
+// time for the request of an instance that reads the service after StaleAfter.
+const outageFraction = 1.2
+
+// OutageAfter returns for how long no instance may have heard that the service answered
+// without it counting as having been unavailable.
+func (reading Reading) OutageAfter() time.Duration {
+	return time.Duration(outageFraction * float64(reading.InForceWithin.Duration))
+}
+
 // lackFraction is the fraction of InForceWithin that LackAfter returns. The rest is
 // left for the peers to get the change, to state it in a probe, and for the instance's
 // own request.
