--- a/cmd/mimosaspring/crowd_peers_test.go
+++ b/cmd/mimosaspring/crowd_peers_test.go
@@ -41,7 +41,7 @@
 		t.Run(name, func(t *testing.T) {
 			scriptSlot <- struct{}{}
 			defer func() { <-scriptSlot }()
-			crowdsite := newCrowdSite(t, program)
+			crowdsite := newCrowdSite(t, program, defaultCrowdLimits)
 			crowdsite.checkOrdinary(crowdCallerPort)
 			ctx, cancel := context.WithTimeout(t.Context(), peerCrowdTime)
 			defer cancel()
--- a/cmd/mimosaspring/crowd_test.go
+++ b/cmd/mimosaspring/crowd_test.go
@@ -93,7 +93,7 @@
 		t.Run(name, func(t *testing.T) {
 			scriptSlot <- struct{}{}
 			defer func() { <-scriptSlot }()
-			crowdsite := newCrowdSite(t, program)
+			crowdsite := newCrowdSite(t, program, defaultCrowdLimits)
 			crowdsite.checkOrdinary(crowd.port)
 			crowdsite.checkLargest()
 			connections := crowd.connect(t, crowdsite.addresses[crowd.port])
@@ -133,9 +133,19 @@
 // the soak test's.
 const crowdHostNumber = 100
 
+// crowdLimits holds the limits of the instance of a crowdSite, which it must stay within.
+type crowdLimits struct {
+	memoryBytes    int64
+	maxDescriptors int
+}
+
+// defaultCrowdLimits holds the limits of most crowds.
+var defaultCrowdLimits = crowdLimits{memoryBytes: crowdMemoryBytes, maxDescriptors: crowdMaxDescriptors}
+
 // crowdSite is one instance with the platform's stand-in and one replica.
 type crowdSite struct {
 	*soak
+	limits    crowdLimits
 	replica   *httptest.Server
 	addresses map[crowdPort]string
 	instance  *soakProgram
@@ -152,8 +162,8 @@
 }
 
 // newCrowdSite starts the programs; program is the path of the instance's.
-func newCrowdSite(t *testing.T, program string) *crowdSite {
-	crowdsite := &crowdSite{soak: &soak{t: t, folder: t.TempDir(), start: time.Now()}, addresses: make(map[crowdPort]string)}
+func newCrowdSite(t *testing.T, program string, limits crowdLimits) *crowdSite {
+	crowdsite := &crowdSite{limits: limits, soak: &soak{t: t, folder: t.TempDir(), start: time.Now()}, addresses: make(map[crowdPort]string)}
 	crowdsite.platform = &soakProgram{name: "platform", args: []string{"standin", "platform"}}
 	crowdsite.launch(crowdsite.platform)
 	t.Cleanup(func() { crowdsite.stop(crowdsite.platform) })
@@ -166,7 +176,7 @@
 	}
 	settings := filepath.Join(crowdsite.folder, "entry.toml")
 	assert.NilError(t, os.WriteFile(settings, []byte(crowdsite.settings()), 0o600))
-	script := fmt.Sprintf("ulimit -n %d && exec %s serve --settings %s", crowdMaxDescriptors, program, settings)
+	script := fmt.Sprintf("ulimit -n %d && exec %s serve --settings %s", limits.maxDescriptors, program, settings)
 	crowdsite.instance = &soakProgram{name: "entry", args: []string{"sh", "-c", script}}
 	crowdsite.launch(crowdsite.instance)
 	t.Cleanup(func() { crowdsite.stop(crowdsite.instance) })
@@ -197,7 +207,7 @@
 platform = [%q]
 process = { memoryBytes = %d, cores = 2 }
 `, crowdsite.addresses[crowdCallerPort], crowdsite.addresses[crowdPeerPort], crowdsite.addresses[crowdOperatorPort],
-		crowdsite.addresses[crowdLocatorPort], crowdsite.addresses[crowdReadinessPort], crowdsite.platform.address, crowdMemoryBytes)
+		crowdsite.addresses[crowdLocatorPort], crowdsite.addresses[crowdReadinessPort], crowdsite.platform.address, crowdsite.limits.memoryBytes)
 }
 
 // publishDocuments configures the scope "read", whose requests go to the replica.
@@ -297,6 +307,6 @@
 	}
 	crowdsite.watch.stop()
 	crowdsite.t.Logf("%s", crowdsite.watch)
-	assert.Check(crowdsite.t, crowdsite.watch.peakMemory > 0 && crowdsite.watch.peakMemory <= crowdMemoryBytes, "%s", crowdsite.watch)
-	assert.Check(crowdsite.t, crowdsite.watch.peakDescriptors <= crowdMaxDescriptors-crowdReservedDescriptors, "%s", crowdsite.watch)
+	assert.Check(crowdsite.t, crowdsite.watch.peakMemory > 0 && crowdsite.watch.peakMemory <= crowdsite.limits.memoryBytes, "%s", crowdsite.watch)
+	assert.Check(crowdsite.t, crowdsite.watch.peakDescriptors <= crowdsite.limits.maxDescriptors-crowdReservedDescriptors, "%s", crowdsite.watch)
 }
