schedule/caller, query/upstream: running queries are in the account of callers' memory

1,200 callers of a query merged over 20 shards, at one instance of 284 MB with sound replicas, took 489 MB, so that the process would have been ended with all that it was serving.

Cause: the account counted connections, requests and answers, but not what a running query holds: 16.5 KB for each shard that waits (12.8 KB of it stacks of two goroutines; measured with hanging replicas, 4 and 20 shards), and nothing bounded how many run. A request has a Work now. A query is granted what its shards here and its homes hold before it starts, or is refused with 503 and Retry-After before anything is sent; half of the memory for callers is for this. Queries of peers hold the same account. Ruled out: answers of callers, which are counted from their first byte, and heads (300 callers alone: 149 MB of 64 MB).

--- a/internal/process/instance/callerlimits.go
+++ b/internal/process/instance/callerlimits.go
@@ -35,6 +35,11 @@
 	// largeShare is the part of the memory for callers that connections with large
 	// requests or answers may take.
 	largeShare = 0.75
+	// fanoutShare and repliesShare are the parts of the memory for callers that the
+	// queries of shards and the answers of replicas may take. The rest is left for
+	// connections.
+	fanoutShare  = 0.5
+	repliesShare = 0.15
 	// peerMemoryShare is the part of the memory of the process that may be held for what
 	// peers send, and minPeerMemory the least.
 	peerMemoryShare = 0.1
@@ -67,6 +72,10 @@
 	if settings.Process.MemoryBytes > 0 {
 		limits.TotalBytes = max(int64(settings.Callers.MemoryShare*float64(settings.Process.MemoryBytes)), minCallerMemory)
 		limits.LargeBytes = int64(largeShare * float64(limits.TotalBytes))
+		limits.Parts = map[caller.Part]caller.PartLimits{
+			caller.PartFanout:  {MaxBytes: int64(fanoutShare * float64(limits.TotalBytes))},
+			caller.PartReplies: {MaxBytes: int64(repliesShare * float64(limits.TotalBytes)), IsShared: true},
+		}
 	}
 	maxConnections := settings.Callers.MaxConnections
 	if maxConnections == 0 {
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -66,6 +66,8 @@
 	// requests that are still in flight are cancelled.
 	isStopping atomic.Bool
 	drainEnd   atomic.Pointer[time.Time]
+	// guard accounts for what is held for callers and their requests. It is set by listen.
+	guard *schedulecaller.Guard
 	// callerServer is set by listen. The other servers stay nil if their address is
 	// not configured.
 	callerServer    *server
@@ -135,19 +137,19 @@
 // listen opens the TCP listeners for callers, operators and the platform. They
 // accept connections, but requests are served only after serve.
 func (instance *Instance) listen() error {
-	guard := schedulecaller.NewGuard("callers", CallerLimits(instance.settings), view.MonotonicNow, instance.metrics, instance.loggers.Part(log.PartCaller))
+	instance.guard = schedulecaller.NewGuard("callers", CallerLimits(instance.settings), view.MonotonicNow, instance.metrics, instance.loggers.Part(log.PartCaller))
 	var err error
-	if instance.callerServer, err = newServer(instance.settings.CallerAddress, callerListener, guard, instance.settings.Callers); err != nil {
+	if instance.callerServer, err = newServer(instance.settings.CallerAddress, callerListener, instance.guard, instance.settings.Callers); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
 	instance.CallerAddress = instance.callerServer.address()
-	if instance.locatorServer, err = newOptionalServer(instance.settings.LocatorAddress, locatorListener, guard, instance.settings.Callers); err != nil {
+	if instance.locatorServer, err = newOptionalServer(instance.settings.LocatorAddress, locatorListener, instance.guard, instance.settings.Callers); err != nil {
 		return errors.Wrap(err, "listen for locator requests")
 	}
-	if instance.readinessServer, err = newOptionalServer(instance.settings.ReadinessAddress, readinessListener, guard, instance.settings.Callers); err != nil {
+	if instance.readinessServer, err = newOptionalServer(instance.settings.ReadinessAddress, readinessListener, instance.guard, instance.settings.Callers); err != nil {
 		return errors.Wrap(err, "listen for readiness checks")
 	}
-	if instance.operatorServer, err = newOptionalServer(instance.settings.OperatorAddress, operatorListener, guard, instance.settings.Callers); err != nil {
+	if instance.operatorServer, err = newOptionalServer(instance.settings.OperatorAddress, operatorListener, instance.guard, instance.settings.Callers); err != nil {
 		return errors.Wrap(err, "listen for operators")
 	}
 	if instance.operatorServer != nil {
@@ -320,7 +322,6 @@
 		ctx, cancel := context.WithCancelCause(request.Context())
 		defer cancel(nil)
 		defer context.AfterFunc(instance.requestsContext, func() { cancel(context.Cause(instance.requestsContext)) })()
-		request = request.WithContext(ctx)
 		inFlight := instance.inFlight.Add(1)
 		defer instance.inFlight.Add(-1)
 		if instance.isStopping.Load() {
@@ -330,7 +331,9 @@
 			wire.WriteRefusal(writer, http.StatusServiceUnavailable, "the instance serves its most requests", time.Second)
 			return
 		}
-		next.ServeHTTP(writer, request)
+		work := instance.guard.BeginWork()
+		defer work.End()
+		next.ServeHTTP(writer, request.WithContext(schedulecaller.NewContext(ctx, work)))
 	})
 }
 
--- a/internal/process/instance/policies.go
+++ b/internal/process/instance/policies.go
@@ -10,6 +10,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/query/caller"
 	"github.com/mimosaspring/mimosaspring/internal/query/peer"
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
+	schedulecaller "github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	scheduleupstream "github.com/mimosaspring/mimosaspring/internal/schedule/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/choice"
@@ -139,7 +140,17 @@
 		RunForPeer:  newFanout(instance, choice, hedge, instance.relayLinks, upstream.DirectPlacement{}).RunForPeer,
 		Log:         instance.requestLog.logPeerQuery,
 	}
-	return queries{registrar: nativeQueries, serveRelayed: relay.Serve, serveHomeQuery: server.Serve, placement: placement}
+	return queries{registrar: nativeQueries, serveRelayed: relay.Serve, serveHomeQuery: instance.accountHomeQuery(server.Serve), placement: placement}
+}
+
+// accountHomeQuery returns next with an account for what each query holds, which is that of
+// the callers' requests.
+func (instance *Instance) accountHomeQuery(next serveHomeQuery) serveHomeQuery {
+	return func(ctx context.Context, query api.HomeQuery, send func(partialanswer api.PartialAnswer) error) {
+		work := instance.guard.BeginWork()
+		defer work.End()
+		next(schedulecaller.NewContext(ctx, work), query, send)
+	}
 }
 
 // slackShare returns this instance's share of the retry budget's slack.
--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -140,7 +140,7 @@
 		return relay.refuse(call, *refusal)
 	}
 	answer := relay.Run(ctx, request)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && answer.Outcome != api.OutcomeNotRun {
 		// An answer to a caller that left says nothing about the load, nor does one
 		// that failed before its target time.
 		relay.Admission.Observe(admissionrequest, time.Since(admissionrequest.TargetTime) > sendTime)
--- a/internal/query/upstream/fanout.go
+++ b/internal/query/upstream/fanout.go
@@ -74,6 +74,12 @@
 		answer.SentRequests += int(firstPass.sentAttempts.Load())
 		answer.IsProvenNotRun = firstPass.possibleRuns.Close() && answer.IsProvenNotRun
 	}
+	if answer.Outcome == api.OutcomeNotRun {
+		if !answer.IsProvenNotRun {
+			answer.Outcome = api.OutcomeUnknown
+		}
+		return answer
+	}
 	return setOutcome(request, answer)
 }
 
--- a/internal/query/upstream/homequery.go
+++ b/internal/query/upstream/homequery.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/trace"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
@@ -96,6 +97,13 @@
 		}
 		homequery.addTrace(trace.HomeFailed, err.Error())
 	}
+	if !caller.WorkFrom(homequery.ctx).Hold(caller.PartFanout, int64(len(homequery.unsettledShards)*shardQueryBytes)) {
+		for name := range homequery.unsettledShards {
+			pass.request.Trace.Add(trace.ShardOmitted, name, "", reasonNoMemory)
+			pass.deliver(homequery.ctx, &shardResult{shard: name, reason: api.MissingRefused, retryAfter: noMemoryRetryAfter})
+		}
+		return
+	}
 	for _, shard := range homequery.unsettledShards {
 		shardquery := &shardQuery[C, H, L, P]{pass: pass, ctx: homequery.ctx, shard: shard, isRepeat: err != nil && isSent}
 		go shardquery.run()
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	schedule "github.com/mimosaspring/mimosaspring/internal/schedule/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/trace"
@@ -84,10 +85,24 @@
 	return partspec
 }
 
+// Memory that a running query holds while it waits, as the account of its request counts
+// it: mostly the stacks of two goroutines for each shard that is queried here, and of one
+// for each home.
+const (
+	shardQueryBytes = 20 << 10
+	homeQueryBytes  = 16 << 10
+)
+
 // start starts querying all shards: those placed on this instance at their
-// replicas, the others at their homes.
-func (pass *pass[C, H, L, P]) start(ctx context.Context) {
+// replicas, the others at their homes. It starts nothing and reports false if there is
+// no memory for it.
+func (pass *pass[C, H, L, P]) start(ctx context.Context) bool {
 	localShards, groups := pass.fanout.Placement.Place(&pass.request)
+	if !caller.WorkFrom(ctx).Hold(caller.PartFanout, int64(len(localShards)*shardQueryBytes+len(groups)*homeQueryBytes)) {
+		pass.fanout.Metrics.Add("queries.refusedForMemory", 1)
+		pass.request.Trace.Add(trace.RequestRefused, "", "", reasonNoMemory)
+		return false
+	}
 	pass.homeCount = len(groups)
 	for _, group := range groups {
 		homequery := &homeQuery[C, H, L, P]{pass: pass, ctx: ctx, group: group}
@@ -97,6 +112,19 @@
 		shardquery := &shardQuery[C, H, L, P]{pass: pass, ctx: ctx, shard: shard}
 		go shardquery.run()
 	}
+	return true
+}
+
+// Refusal of a query for which there is no memory. Most running queries end within the
+// wait.
+const (
+	reasonNoMemory     = "no memory left for the query"
+	noMemoryRetryAfter = 200 * time.Millisecond
+)
+
+// refuse returns the answer of a pass that was not started.
+func (pass *pass[C, H, L, P]) refuse() api.Answer {
+	return api.Answer{Outcome: api.OutcomeNotRun, Reason: reasonNoMemory, RetryAfter: noMemoryRetryAfter, IsProvenNotRun: pass.possibleRuns.Close()}
 }
 
 // minSilentHomes is the number of homes that must have been asked before the
@@ -117,7 +145,9 @@
 func (pass *pass[C, H, L, P]) run(ctx context.Context) (api.Answer, newerVersion) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(api.ErrAnswered)
-	pass.start(ctx)
+	if !pass.start(ctx) {
+		return pass.refuse(), newerVersion{}
+	}
 	collector := NewCollector(pass.partSpec)
 	targetTimer := pass.targetTimer()
 	defer targetTimer.stop()
--- a/internal/query/upstream/peerquery.go
+++ b/internal/query/upstream/peerquery.go
@@ -40,12 +40,21 @@
 	peerquery := &peerQuery[C, H, L, P]{pass: fanout.newPass(request, snapshot), send: send, unsentMissing: unknownShards, unsettledCount: len(request.Selection.Shards)}
 	// Attempts that still wait are not sent after the last partial answer.
 	defer peerquery.pass.possibleRuns.Close()
-	peerquery.pass.start(ctx)
+	if !peerquery.pass.start(ctx) {
+		peerquery.refuse()
+	}
 	if err := peerquery.run(ctx); err != nil {
 		fanout.Metrics.Add("cells.unsent", 1)
 	}
 }
 
+// refuse reports all shards as missing.
+func (peerquery *peerQuery[C, H, L, P]) refuse() {
+	for _, shard := range peerquery.pass.request.Selection.Shards {
+		peerquery.addResult(&shardResult{shard: shard.Name, reason: api.MissingRefused, retryAfter: noMemoryRetryAfter})
+	}
+}
+
 func (peerquery *peerQuery[C, H, L, P]) run(ctx context.Context) error {
 	progressTimer, targetTimer := peerquery.timers()
 	defer progressTimer.stop()
--- a/internal/schedule/caller/guard.go
+++ b/internal/schedule/caller/guard.go
@@ -78,6 +78,7 @@
 	LargeBytes   int64          `json:"largeBytes"`
 	ClosingBytes int64          `json:"closingBytes"`
 	Connections  map[string]int `json:"connections"`
+	Parts        map[Part]int64 `json:"parts"`
 }
 
 // usage returns the current Usage.
@@ -85,7 +86,7 @@
 	guard.mutex.Lock()
 	defer guard.mutex.Unlock()
 	memory := guard.memory
-	return Usage{HeldBytes: memory.HeldBytes, LargeBytes: memory.LargeHeldBytes, ClosingBytes: memory.ClosingBytes, Connections: maps.Clone(memory.Connections)}
+	return Usage{HeldBytes: memory.HeldBytes, LargeBytes: memory.LargeHeldBytes, ClosingBytes: memory.ClosingBytes, Connections: maps.Clone(memory.Connections), Parts: maps.Clone(memory.PartBytes)}
 }
 
 // Open adds a connection, and returns nil if it is refused. It may wait for evicted
--- a/internal/schedule/caller/memory.go
+++ b/internal/schedule/caller/memory.go
@@ -40,6 +40,8 @@
 	// MaxConnections bounds the open connections of each listener, by its name. A
 	// listener without an entry has no bound.
 	MaxConnections map[string]int
+	// Parts bounds what is held for running requests, by part.
+	Parts map[Part]PartLimits
 	// YoungTime is how long after it was accepted or answered a connection counts as
 	// about to send a request.
 	YoungTime time.Duration
@@ -69,7 +71,7 @@
 }
 
 // Memory is the account of the memory and the connections that one instance holds for
-// its callers. When either runs out, connections give way in this order: idle ones, those
+// its callers, and of what their running requests hold. When either runs out, connections give way in this order: idle ones, those
 // that send a request, the oldest first, those that have stopped reading their answer, and
 // idle ones that are young. A connection whose request runs never gives way. Memory is not
 // safe for concurrent use.
@@ -81,6 +83,8 @@
 	LargeHeldBytes int64
 	// ClosingBytes is the memory of evicted holders that are not closed yet.
 	ClosingBytes int64
+	// PartBytes is the part of HeldBytes that is held for running requests, by part.
+	PartBytes map[Part]int64
 	// Connections counts the open connections of each listener, without those of
 	// evicted holders.
 	Connections map[string]int
@@ -97,7 +101,7 @@
 
 // NewMemory returns an account without holders.
 func NewMemory[C any](limits MemoryLimits) *Memory[C] {
-	return &Memory[C]{Limits: limits, Connections: make(map[string]int), queues: make(map[queueKey]*queue[*Holder[C]])}
+	return &Memory[C]{Limits: limits, PartBytes: make(map[Part]int64), Connections: make(map[string]int), queues: make(map[queueKey]*queue[*Holder[C]])}
 }
 
 // rule selects the holders that may give way at one place of an order.
--- /dev/null
+++ b/internal/schedule/caller/work.go
@@ -0,0 +1,159 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Part is a kind of memory that is held for running requests, beside their callers'
+// connections.
+type Part string
+
+// The parts.
+const (
+	// PartFanout is what the queries of the shards of running requests hold: the
+	// goroutines of attempts that wait for a replica or its answer.
+	PartFanout Part = "fanout"
+	// PartReplies is what replicas send in answers that are larger than usual.
+	PartReplies Part = "replies"
+)
+
+// PartLimits bounds one part.
+type PartLimits struct {
+	// MaxBytes bounds the whole part.
+	MaxBytes int64
+	// IsShared is set if one holder may have at most as much as is still free. However
+	// many holders grow without end, room is left for another one.
+	IsShared bool
+}
+
+// HoldPart adds bytes to one holder of a part, which has held bytes of it already. It
+// reports whether they may be held, and returns the holders of connections that the caller
+// of HoldPart must close. What runs does not give way.
+func (memory *Memory[C]) HoldPart(part Part, held, bytes int64, now time.Duration) (bool, []*Holder[C]) {
+	var evicted []*Holder[C]
+	if memory.Limits.TotalBytes > 0 {
+		limits := memory.Limits.Parts[part]
+		free := limits.MaxBytes - memory.PartBytes[part]
+		if bytes > free || limits.IsShared && held+bytes > free {
+			return false, nil
+		}
+		for memory.exceeds(bytes) {
+			victim := memory.next(growthOrder, "", now)
+			if victim == nil {
+				return false, evicted
+			}
+			evicted = append(evicted, memory.evict(victim))
+		}
+	}
+	memory.PartBytes[part] += bytes
+	memory.HeldBytes += bytes
+	return true, evicted
+}
+
+// ReleasePart removes bytes that HoldPart has granted.
+func (memory *Memory[C]) ReleasePart(part Part, bytes int64) {
+	memory.PartBytes[part] -= bytes
+	memory.HeldBytes -= bytes
+}
+
+// Hold adds bytes to a holder that has held bytes of a part, and reports whether they may
+// be held. A nil guard grants everything.
+func (guard *Guard) Hold(part Part, held, bytes int64) bool {
+	if guard == nil {
+		return true
+	}
+	guard.mutex.Lock()
+	isGranted, evicted := guard.memory.HoldPart(part, held, bytes, guard.now())
+	guard.report(evicted, isGranted, string(part))
+	guard.signalEvicted(evicted)
+	guard.mutex.Unlock()
+	evictAll(evicted)
+	return isGranted
+}
+
+// Release removes bytes that Hold has granted.
+func (guard *Guard) Release(part Part, bytes int64) {
+	if guard == nil || bytes == 0 {
+		return
+	}
+	guard.mutex.Lock()
+	defer guard.mutex.Unlock()
+	guard.memory.ReleasePart(part, bytes)
+	guard.signal()
+}
+
+// Work is what an instance holds for one request while it runs. Its methods may be called
+// concurrently, and on a nil Work, which accounts for nothing.
+type Work struct {
+	guard *Guard
+
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	held  map[Part]int64
+	// isEnded is set when the request has been answered.
+	isEnded bool
+}
+
+// BeginWork returns the account of a request that begins to run. End must be called when it
+// has been answered.
+func (guard *Guard) BeginWork() *Work { return &Work{guard: guard, held: make(map[Part]int64)} }
+
+// Hold adds bytes of a part until End, and reports whether they may be held.
+func (work *Work) Hold(part Part, bytes int64) bool {
+	if work == nil {
+		return true
+	}
+	work.mutex.Lock()
+	held := work.held[part]
+	work.mutex.Unlock()
+	if !work.guard.Hold(part, held, bytes) {
+		return false
+	}
+	work.Adopt(part, bytes)
+	return true
+}
+
+// Adopt takes over bytes of a part that the guard has granted. After End, or on a nil Work,
+// it releases them.
+func (work *Work) Adopt(part Part, bytes int64) {
+	if work == nil {
+		return
+	}
+	work.mutex.Lock()
+	defer work.mutex.Unlock()
+	if work.isEnded {
+		work.guard.Release(part, bytes)
+		return
+	}
+	work.held[part] += bytes
+}
+
+// End releases all that is held.
+func (work *Work) End() {
+	if work == nil {
+		return
+	}
+	work.mutex.Lock()
+	defer work.mutex.Unlock()
+	work.isEnded = true
+	for part, bytes := range work.held {
+		work.guard.Release(part, bytes)
+	}
+	clear(work.held)
+}
+
+// workKey is the context key of a request's Work.
+type workKey struct{}
+
+// NewContext returns a context with the account of the request that it belongs to.
+func NewContext(ctx context.Context, work *Work) context.Context {
+	return context.WithValue(ctx, workKey{}, work)
+}
+
+// WorkFrom returns the account in ctx, or nil.
+func WorkFrom(ctx context.Context) *Work {
+	work, _ := ctx.Value(workKey{}).(*Work)
+	return work
+}
