wire/http, schedule/caller: replicas' answers are in the account of callers' memory

Many replicas that send heads, interim responses, bodies, trailers or lengths without end, all at once, took 119 to 408 MB of a process that is granted 64 MB, which the platform ends with all that it serves.

Cause: each answer was bounded for itself and not for all, a stated length was allocated before a byte of it had come, and a head takes many times its bytes as headers. Answers are accounted for as they arrive now; one may hold as much as is still free, so that room is left for others, and beyond that the attempt fails. Replies of peers are in the account of peers; pages and listings of the store are bounded by the memory of the process. Ruled out: a single answer without bound (TestRelayLinkEndlessBytes), running queries alone.

--- a/internal/process/instance/adapter.go
+++ b/internal/process/instance/adapter.go
@@ -66,7 +66,7 @@
 	client := &http.Client{}
 	var stores []wire.PlatformClient
 	for _, address := range settings.PlatformAddresses {
-		stores = append(stores, wire.PlatformClient{Address: address, Client: client})
+		stores = append(stores, wire.PlatformClient{Address: address, Client: client, MaxBytes: settings.Process.PlatformMemory()})
 	}
 	platform.NewReader(stores, toml.Parse, settings.Reading, control, logger).Start(ctx)
 }
--- a/internal/process/instance/callerlimits.go
+++ b/internal/process/instance/callerlimits.go
@@ -38,7 +38,7 @@
 	// fanoutShare and repliesShare are the parts of the memory for callers that the
 	// queries of shards and the answers of replicas may take. The rest is left for
 	// connections.
-	fanoutShare  = 0.5
+	fanoutShare  = 0.45
 	repliesShare = 0.15
 	// peerMemoryShare is the part of the memory of the process that may be held for what
 	// peers send, and minPeerMemory the least.
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -66,7 +66,7 @@
 	// requests that are still in flight are cancelled.
 	isStopping atomic.Bool
 	drainEnd   atomic.Pointer[time.Time]
-	// guard accounts for what is held for callers and their requests. It is set by listen.
+	// guard accounts for what is held for callers and their requests.
 	guard *schedulecaller.Guard
 	// callerServer is set by listen. The other servers stay nil if their address is
 	// not configured.
@@ -105,12 +105,11 @@
 // the key secret. Everything that was started is then closed.
 func Start(settings settings.Settings, options ...Option) (*Instance, error) {
 	instance := &Instance{
-		settings:    settings,
-		loggers:     log.Discard(),
-		metrics:     metrics.New(),
-		nativeLinks: &wire.Links[*wire.Link]{Open: wire.OpenLink},
-		adapter:     NativeAdapter(),
-		startedAt:   time.Now(),
+		settings:  settings,
+		loggers:   log.Discard(),
+		metrics:   metrics.New(),
+		adapter:   NativeAdapter(),
+		startedAt: time.Now(),
 	}
 	for _, option := range options {
 		option(instance)
@@ -118,7 +117,9 @@
 	instance.requestsContext, instance.cancelRequests = context.WithCancelCause(context.Background())
 	instance.logger = instance.loggers.Part(log.PartProcess)
 	instance.requestLog = newRequestLog(instance.loggers.Part(log.PartCaller))
-	instance.relayLinks = &wire.Links[*wire.RelayLink]{Open: wire.RelayLinkOpener(instance.adapter.RelayHeaders, wire.WithOrder(instance.newOrder))}
+	instance.guard = schedulecaller.NewGuard("callers", CallerLimits(instance.settings), view.MonotonicNow, instance.metrics, instance.loggers.Part(log.PartCaller))
+	instance.nativeLinks = &wire.Links[*wire.Link]{Open: wire.LinkOpener(instance.guard)}
+	instance.relayLinks = &wire.Links[*wire.RelayLink]{Open: wire.RelayLinkOpener(instance.adapter.RelayHeaders, wire.WithOrder(instance.newOrder), wire.WithReplyMemory(instance.guard))}
 	instance.budget = budget.New(retryLimits(settings.Retries), instance.memberCount, view.MonotonicNow, budget.WithSlackShare(instance.slackShare))
 	if err := instance.listen(); err != nil {
 		instance.close()
@@ -137,7 +138,6 @@
 // listen opens the TCP listeners for callers, operators and the platform. They
 // accept connections, but requests are served only after serve.
 func (instance *Instance) listen() error {
-	instance.guard = schedulecaller.NewGuard("callers", CallerLimits(instance.settings), view.MonotonicNow, instance.metrics, instance.loggers.Part(log.PartCaller))
 	var err error
 	if instance.callerServer, err = newServer(instance.settings.CallerAddress, callerListener, instance.guard, instance.settings.Callers); err != nil {
 		return errors.Wrap(err, "listen for callers")
--- a/internal/schedule/caller/guard.go
+++ b/internal/schedule/caller/guard.go
@@ -78,7 +78,7 @@
 	LargeBytes   int64          `json:"largeBytes"`
 	ClosingBytes int64          `json:"closingBytes"`
 	Connections  map[string]int `json:"connections"`
-	Parts        map[Part]int64 `json:"parts"`
+	Parts        map[Part]int64 `json:"parts,omitempty"`
 }
 
 // usage returns the current Usage.
--- a/internal/schedule/caller/work.go
+++ b/internal/schedule/caller/work.go
@@ -28,6 +28,10 @@
 	IsShared bool
 }
 
+// workOrder is the order in which connections give way to running requests. Requests that
+// are being read, and callers that have just connected, do not.
+var workOrder = []rule{{phase: PhaseReading, isLarge: true}, {phase: PhaseIdle}, {phase: PhaseWriting, isLarge: true}, {phase: PhaseWriting}}
+
 // HoldPart adds bytes to one holder of a part, which has held bytes of it already. It
 // reports whether they may be held, and returns the holders of connections that the caller
 // of HoldPart must close. What runs does not give way.
@@ -40,7 +44,7 @@
 			return false, nil
 		}
 		for memory.exceeds(bytes) {
-			victim := memory.next(growthOrder, "", now)
+			victim := memory.next(workOrder, "", now)
 			if victim == nil {
 				return false, evicted
 			}
@@ -115,12 +119,8 @@
 	return true
 }
 
-// Adopt takes over bytes of a part that the guard has granted. After End, or on a nil Work,
-// it releases them.
+// Adopt takes over bytes of a part that the guard has granted. After End it releases them.
 func (work *Work) Adopt(part Part, bytes int64) {
-	if work == nil {
-		return
-	}
 	work.mutex.Lock()
 	defer work.mutex.Unlock()
 	if work.isEnded {
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -106,6 +106,23 @@
 	return time.Duration(lackFraction * float64(reading.InForceWithin.Duration))
 }
 
+// platformMemoryShare is the part of the memory of the process that reading the
+// configuration service may take, and minPlatformMemory the least.
+const (
+	platformMemoryShare = 0.1
+	minPlatformMemory   = 8 << 20
+	// unlimitedPlatformMemory is the memory if the process has no limit.
+	unlimitedPlatformMemory = 64 << 20
+)
+
+// PlatformMemory returns the memory that reading the configuration service may take.
+func (process Process) PlatformMemory() int64 {
+	if process.MemoryBytes == 0 {
+		return unlimitedPlatformMemory
+	}
+	return max(int64(platformMemoryShare*float64(process.MemoryBytes)), minPlatformMemory)
+}
+
 // Process limits the resources of the process.
 type Process struct {
 	// Cores is the number of threads that run Go code concurrently; 0 means the
--- a/internal/wire/http/limitedreader.go
+++ b/internal/wire/http/limitedreader.go
@@ -4,6 +4,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 )
 
 // errTooManyBytes reports that a peer sent more bytes than a limitedReader allows.
@@ -16,14 +18,25 @@
 	reader io.Reader
 	// remaining is the number of bytes that may still be read.
 	remaining int
+	// reading accounts for what is read beyond the next free bytes, and bytesFactor is the
+	// memory that a byte takes.
+	reading     caller.Reading
+	bytesFactor int64
+	free        int
 }
 
-// Read reads up to the remaining bytes. It returns errTooManyBytes if none remain.
+// Read reads up to the remaining bytes. It returns errTooManyBytes if none remain, and
+// caller.ErrNoMemory if there is no memory left for them.
 func (limitedreader *limitedReader) Read(buffer []byte) (int, error) {
 	if limitedreader.remaining <= 0 {
 		return 0, errTooManyBytes
 	}
 	count, err := limitedreader.reader.Read(buffer[:min(len(buffer), limitedreader.remaining)])
 	limitedreader.remaining -= count
+	accounted := max(count-limitedreader.free, 0)
+	limitedreader.free -= count - accounted
+	if growErr := limitedreader.reading.Grow(int64(accounted) * limitedreader.bytesFactor); growErr != nil {
+		return 0, growErr
+	}
 	return count, err
 }
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
@@ -28,6 +29,10 @@
 	// stays free while instances replace one another: one in
 	// connectionReserveDivisor connections.
 	connectionReserveDivisor = 4
+	// maxHealthBytes bounds the body of the answer to a health check.
+	maxHealthBytes = 64 << 10
+	// maxHeadBytes bounds the head of a reply. The default of net/http is 10 MB.
+	maxHeadBytes = 16 << 10
 )
 
 // connectionShare returns how many connections one instance may open to a replica
@@ -78,7 +83,9 @@
 	address  string
 	protocol string
 	// stats are those of the replica; nil if the link belongs to none.
-	stats          *view.ReplicaStats
+	stats *view.ReplicaStats
+	// guard accounts for replies; nil does not.
+	guard          *caller.Guard
 	maxConnections int
 	// lastReceived is the time since view.MonotonicOrigin, in nanoseconds, at which
 	// bytes last arrived.
@@ -92,11 +99,14 @@
 	isChecking  atomic.Bool
 }
 
-// OpenLink returns a link to replica. It is a value for Links.Open.
-func OpenLink(replica *view.Replica, instances int) *Link {
-	link := NewLink(replica.Instance.Address, replica.Upstream, instances)
-	link.stats = replica.Stats
-	return link
+// LinkOpener returns a function that opens a link whose replies guard accounts for; nil
+// does not. It is a value for Links.Open.
+func LinkOpener(guard *caller.Guard) func(replica *view.Replica, instances int) *Link {
+	return func(replica *view.Replica, instances int) *Link {
+		link := NewLink(replica.Instance.Address, replica.Upstream, instances)
+		link.stats, link.guard = replica.Stats, guard
+		return link
+	}
 }
 
 // NewLink returns a link to the replica at address. The link opens connections on
@@ -120,14 +130,13 @@
 		protocols.SetUnencryptedHTTP2(true)
 	}
 	return &http.Transport{
-		Protocols:           protocols,
-		DialContext:         link.dial,
-		MaxConnsPerHost:     link.maxConnections,
-		MaxIdleConnsPerHost: link.maxConnections,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-		// The default of net/http is 10 MB.
-		MaxResponseHeaderBytes: maxReplyHeadBytes,
+		Protocols:              protocols,
+		DialContext:            link.dial,
+		MaxConnsPerHost:        link.maxConnections,
+		MaxIdleConnsPerHost:    link.maxConnections,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 }
@@ -219,7 +228,9 @@
 	if err := link.match(response, attempt.Identity, used); err != nil {
 		return api.Reply{}, &SendError{Step: "match reply of", Peer: link.address, MayHaveRun: true, Cause: err}
 	}
-	reply, err := decodeReply(response)
+	reading := &caller.Reading{Guard: link.guard, FreeBytes: replyBodyBytesFactor * freeReplyBytes}
+	reply, err := decodeReply(response, reading)
+	reading.MoveTo(caller.WorkFrom(ctx))
 	if err != nil {
 		return reply, &SendError{Step: "read reply of", Peer: link.address, MayHaveRun: true, Cause: err}
 	}
@@ -259,7 +270,7 @@
 	if err := link.match(response, "", used); err != nil {
 		return health, &SendError{Step: "match health of", Peer: link.address, Cause: err}
 	}
-	if err := json.NewDecoder(io.LimitReader(response.Body, MaxReplyBytes)).Decode(&health); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxHealthBytes)).Decode(&health); err != nil {
 		return health, &SendError{Step: "read health of", Peer: link.address, Cause: err}
 	}
 	return health, nil
--- a/internal/wire/http/platform.go
+++ b/internal/wire/http/platform.go
@@ -58,6 +58,9 @@
 	// Address is the host and port of the service.
 	Address string
 	Client  *http.Client
+	// MaxBytes bounds the list of keys of one answer and, together, the documents read
+	// after it; 0 means maxListingBytes for the list and no bound for the documents.
+	MaxBytes int64
 }
 
 // Peer returns the service's address.
@@ -73,6 +76,7 @@
 		return api.Changes{Era: listing.Era}, err
 	}
 	changes := api.Changes{Era: listing.Era, Revision: listing.Revision}
+	documentBytes := int64(0)
 	for _, key := range listing.Keys {
 		key.Era = listing.Era
 		if !key.Version().After(knownVersion(key.Key)) {
@@ -90,6 +94,10 @@
 			// result is only as recent as that document.
 			changes.Revision = min(changes.Revision, document.Revision)
 		}
+		documentBytes += int64(len(document.Value))
+		if platformclient.MaxBytes > 0 && documentBytes > platformclient.MaxBytes {
+			return api.Changes{Era: document.Era}, &PlatformError{Step: "read", Peer: platformclient.Address, Cause: errors.Errorf("documents of over %d bytes", platformclient.MaxBytes)}
+		}
 		changes.Documents = append(changes.Documents, document)
 	}
 	return changes, nil
@@ -111,7 +119,11 @@
 		return listing, err
 	}
 	defer response.Body.Close()
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListingBytes)).Decode(&listing); err != nil {
+	maxBytes := int64(maxListingBytes)
+	if platformclient.MaxBytes > 0 {
+		maxBytes = min(maxBytes, platformclient.MaxBytes)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxBytes)).Decode(&listing); err != nil {
 		return listing, &PlatformError{Step: "watch", Peer: platformclient.Address, Cause: err}
 	}
 	return listing, nil
--- a/internal/wire/http/relayconn.go
+++ b/internal/wire/http/relayconn.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 )
 
@@ -32,6 +33,14 @@
 	// maxReplyFramingBytes bounds the bytes of a chunked body that frame its chunks,
 	// and the trailers.
 	maxReplyFramingBytes = 64 << 10
+	// replyHeadBytesFactor is the memory that a byte of a head takes once it is decoded
+	// into headers, and replyBodyBytesFactor that of a byte of a body, which is read into
+	// a buffer that doubles.
+	replyHeadBytesFactor = 16
+	replyBodyBytesFactor = 2
+	// freeReplyBytes is how much of an answer is not accounted for. Usual answers are not
+	// longer.
+	freeReplyBytes = relayReadBufferBytes
 	// lateAnswerWait is how long a connection waits for the answer to an attempt
 	// whose query was answered without it. It is longer than a pause of the replica's
 	// process, after which the answer arrives. Opening a new connection costs the
@@ -95,7 +104,7 @@
 }
 
 func newRelayConn(conn socket) *relayConn {
-	limit := &limitedReader{reader: conn}
+	limit := &limitedReader{reader: conn, bytesFactor: replyHeadBytesFactor}
 	relayconn := &relayConn{conn: conn, limit: limit, reader: bufio.NewReaderSize(limit, relayReadBufferBytes), openedAt: time.Now()}
 	rawConn, err := conn.SyscallConn()
 	if err != nil {
@@ -118,6 +127,7 @@
 	_ = relayconn.conn.SetReadDeadline(time.Now().Add(wait))
 	defer func() { _ = relayconn.conn.SetReadDeadline(time.Time{}) }()
 	relayconn.limit.remaining = maxReplyHeadBytes
+	defer relayconn.limit.reading.Release()
 	_, err := relayconn.reader.Peek(1)
 	return err == nil || isReset(err) || errors.Is(err, io.EOF)
 }
@@ -158,14 +168,17 @@
 	relayconn.exchangeNumber++
 	number := relayconn.exchangeNumber
 	relayconn.mutex.Unlock()
+	relayconn.limit.free = freeReplyBytes
 	stop := context.AfterFunc(ctx, func() { relayconn.interrupt(number, context.Cause(ctx)) })
 	response, err := relayconn.sendAndRead(request)
 	stop()
 	relayconn.endExchange()
 	if err != nil {
 		relayconn.mustClose = true
+		relayconn.limit.reading.Release()
 		return nil, err
 	}
+	relayconn.limit.reading.MoveTo(caller.WorkFrom(ctx))
 	relayconn.lastAnswer = time.Now()
 	return response, nil
 }
@@ -299,7 +312,7 @@
 // (1xx). It returns an error if a status is not valid, if an interim response states a
 // body, or if the response exceeds maxReplyHeadBytes or MaxReplyBytes.
 func (relayconn *relayConn) readFinalResponse(method string) (*api.Response, error) {
-	relayconn.limit.remaining = maxReplyHeadBytes
+	relayconn.limit.remaining, relayconn.limit.bytesFactor = maxReplyHeadBytes, replyHeadBytesFactor
 	for {
 		response, err := http.ReadResponse(relayconn.reader, &http.Request{Method: method})
 		if err != nil {
@@ -314,7 +327,7 @@
 			}
 			continue
 		}
-		relayconn.limit.remaining = MaxReplyBytes + maxReplyFramingBytes
+		relayconn.limit.remaining, relayconn.limit.bytesFactor = MaxReplyBytes+maxReplyFramingBytes, replyBodyBytesFactor
 		body, err := readBody(response)
 		if err != nil {
 			return nil, errors.Wrap(err, "read body of answer")
@@ -349,19 +362,18 @@
 	return 0, false
 }
 
-// readBody reads a complete body of at most MaxReplyBytes.
+// readBody reads a complete body of at most MaxReplyBytes. A stated length alone takes no
+// memory.
 func readBody(response *http.Response) ([]byte, error) {
 	defer response.Body.Close()
 	if response.ContentLength > MaxReplyBytes {
 		return nil, errors.Errorf("%d bytes; allowed: %d", response.ContentLength, MaxReplyBytes)
 	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
+	body, err := readGrowing(response.Body, response.ContentLength, MaxReplyBytes)
+	if err == nil && int64(len(body)) < response.ContentLength {
+		return nil, io.ErrUnexpectedEOF
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxReplyBytes+1))
-	if len(body) > MaxReplyBytes {
+	if err == nil && len(body) > MaxReplyBytes {
 		return nil, errors.Errorf("over %d bytes", MaxReplyBytes)
 	}
 	return body, err
--- a/internal/wire/http/relayedrequest.go
+++ b/internal/wire/http/relayedrequest.go
@@ -56,40 +56,19 @@
 	}, nil
 }
 
-// minBodyBuffer is the first size of the buffer for a body.
-const minBodyBuffer = 512
-
-// readRequestBody reads the body of a request of at most maxBytes. The buffer doubles as
-// bytes arrive, up to the announced length: an announcement alone takes no memory.
+// readRequestBody reads the body of a request of at most maxBytes.
 func readRequestBody(request *http.Request, maxBytes int64) ([]byte, error) {
 	if request.ContentLength > maxBytes {
 		return nil, &TooLargeError{MaxBytes: maxBytes}
 	}
-	if request.ContentLength == 0 {
-		return nil, nil
-	}
-	// One byte more than can be read, so that the read that meets the end has room.
-	largest := maxBytes + 2
-	if request.ContentLength > 0 {
-		largest = request.ContentLength + 1
-	}
-	reader := io.LimitReader(request.Body, maxBytes+1)
-	body := make([]byte, 0, min(largest, minBodyBuffer))
-	for {
-		if len(body) == cap(body) {
-			body = append(make([]byte, 0, min(largest, 2*int64(cap(body)))), body...)
-		}
-		count, err := reader.Read(body[len(body):cap(body)])
-		body = body[:len(body)+count]
-		switch {
-		case int64(len(body)) > maxBytes:
-			return nil, &TooLargeError{MaxBytes: maxBytes}
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, errors.Wrap(err, "read request of caller")
-		}
+	body, err := readGrowing(request.Body, request.ContentLength, maxBytes)
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(err, "read request of caller")
+	case int64(len(body)) > maxBytes:
+		return nil, &TooLargeError{MaxBytes: maxBytes}
 	}
+	return body, nil
 }
 
 // refuseUnread returns the status with which a request is refused because of err, an error
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	schedule "github.com/mimosaspring/mimosaspring/internal/schedule/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
@@ -53,6 +54,8 @@
 	replica  string
 	upstream api.Upstream
 	stats    *view.ReplicaStats
+	// guard accounts for answers; nil does not.
+	guard *caller.Guard
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
@@ -86,6 +89,12 @@
 	return func(relaylink *RelayLink) { relaylink.waiters.Order = newOrder() }
 }
 
+// WithReplyMemory makes guard account for the replicas' answers while they are read and
+// until the request that gets them ends.
+func WithReplyMemory(guard *caller.Guard) RelayLinkOption {
+	return func(relaylink *RelayLink) { relaylink.guard = guard }
+}
+
 // RelayLinkOpener returns a function that opens a link with the given header names.
 // It is a value for Links.Open.
 func RelayLinkOpener(names *HeaderNames, options ...RelayLinkOption) func(*view.Replica, int) *RelayLink {
@@ -396,6 +405,7 @@
 		return nil, err
 	}
 	relayconn := newRelayConn(conn.(*net.TCPConn))
+	relayconn.limit.reading.Guard = relaylink.guard
 	relayconn.reusableUntil = time.Now().Add(relayIdleTimeout)
 	return relayconn, nil
 }
--- a/internal/wire/http/upstream.go
+++ b/internal/wire/http/upstream.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 )
 
@@ -129,10 +130,10 @@
 	return strings.Join(texts, ",")
 }
 
-// decodeReply reads a replica's complete reply. A truncated body and one beyond
-// MaxReplyBytes are errors.
-func decodeReply(response *http.Response) (api.Reply, error) {
-	body, err := io.ReadAll(io.LimitReader(response.Body, MaxReplyBytes+1))
+// decodeReply reads a replica's complete reply, which reading accounts for. A truncated
+// body and one beyond MaxReplyBytes are errors.
+func decodeReply(response *http.Response, reading *caller.Reading) (api.Reply, error) {
+	body, err := readGrowing(reading.Reader(response.Body, replyBodyBytesFactor), response.ContentLength, MaxReplyBytes)
 	if err != nil {
 		return api.Reply{}, err
 	}
--- a/internal/wire/quic/endpoint.go
+++ b/internal/wire/quic/endpoint.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
 
+	"github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/wire/cbor"
 )
@@ -204,7 +205,9 @@
 		return api.PeerReply{}, err
 	}
 	defer cancelStreamOnDone(ctx, stream)()
-	reply, err := cbor.Read[api.PeerReply](stream)
+	reading := &caller.Reading{Guard: endpoint.inbound.guard, FreeBytes: freeReplyBytes}
+	defer reading.Release()
+	reply, err := cbor.Read[api.PeerReply](reading.Reader(stream, callBytesFactor))
 	if err != nil {
 		return reply, &CallError{Step: "read reply of", Peer: address, Cause: err, MayHaveArrived: true}
 	}
@@ -220,7 +223,9 @@
 		return err
 	}
 	defer cancelStreamOnDone(ctx, stream)()
-	answers := cbor.NewSequence[api.PartialAnswer](stream)
+	reading := &caller.Reading{Guard: endpoint.inbound.guard, FreeBytes: freeReplyBytes}
+	defer reading.Release()
+	answers := cbor.NewSequence[api.PartialAnswer](reading.Reader(stream, callBytesFactor))
 	for {
 		answer, err := answers.Next()
 		if err != nil {
--- a/internal/wire/quic/inbound.go
+++ b/internal/wire/quic/inbound.go
@@ -25,6 +25,11 @@
 	// connectionBytesFactor is the memory of a connection, in units of what the limits
 	// allow for a call.
 	connectionBytesFactor = 4
+	// freeReplyBytes is the memory of a usual reply, which is not accounted for.
+	freeReplyBytes = 16 << 10
+	// replyDivisor is the part of the memory for peers that replies to the calls of this
+	// endpoint may take.
+	replyDivisor = 2
 )
 
 // Names of what the guard of an endpoint accounts for.
@@ -43,6 +48,7 @@
 		SmallBytes:      64 << 10,
 		ConnectionBytes: 4 << 10,
 		MaxConnections:  make(map[string]int),
+		Parts:           map[caller.Part]caller.PartLimits{caller.PartReplies: {MaxBytes: totalBytes / replyDivisor, IsShared: true}},
 	}
 }
 
