--- a/cmd/mimosaspring/cmds/serve.go
+++ b/cmd/mimosaspring/cmds/serve.go
@@ -16,14 +16,15 @@
 )
 
 type serveCmd struct {
-	Settings string `required:"" type:"path" env:"MIMOSASPRING_SETTINGS" help:"The settings file, in TOML."`
+	Settings string   `required:"" type:"path" env:"MIMOSASPRING_SETTINGS" help:"The settings file, in TOML."`
+	Set      []string `sep:"none" placeholder:"KEY=VALUE" help:"Replaces a key of the settings file, as process.cores=2. Without a value it is ignored."`
 }
 
 // Run serves until SIGTERM or SIGINT, and then shuts down gracefully. A further SIGINT
 // ends the shutdown at once; other signals do not shorten it.
 func (servecmd *serveCmd) Run(ctx context.Context) error {
 	signals := notifySignals()
-	settings, err := toml.ReadSettings(servecmd.Settings)
+	settings, err := toml.ReadSettings(servecmd.Settings, servecmd.Set...)
 	if err != nil {
 		return &commandline.InputError{Cause: err}
 	}
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -130,6 +130,7 @@
 		return nil, err
 	}
 	instance.logger.Info("instance started", zap.String("name", settings.Name),
+		zap.Int("maxDescriptors", settings.Process.MaxDescriptors), zap.Bool("pace", settings.Schedule.Pace), zap.Float64("coldOvershoot", settings.Schedule.ColdOvershoot),
 		zap.String("callerAddress", instance.CallerAddress), zap.String("peerAddress", instance.PeerAddress),
 		zap.String("operatorAddress", instance.OperatorAddress), zap.String("version", Version))
 	return instance, nil
--- a/internal/wire/toml/toml.go
+++ b/internal/wire/toml/toml.go
@@ -15,9 +15,10 @@
 )
 
 // ReadSettings reads and validates a settings file. Keys that the file lacks keep
-// their defaults. An error about the content names the file, the key and the
-// allowed values.
-func ReadSettings(path string) (settings.Settings, error) {
+// their defaults. Overrides of the form KEY=VALUE, with a value as in the file, replace
+// keys of the file; one without a value is ignored. An error about the content names the
+// file or the override, the key and the allowed values.
+func ReadSettings(path string, overrides ...string) (settings.Settings, error) {
 	settings := settings.Default()
 	text, err := os.ReadFile(path)
 	if err != nil {
@@ -26,6 +27,14 @@
 	if err := Decode(text, &settings); err != nil {
 		return settings, errors.WithMessage(err, path)
 	}
+	for _, override := range overrides {
+		if _, value, _ := strings.Cut(override, "="); value == "" {
+			continue
+		}
+		if err := Decode([]byte(override), &settings); err != nil {
+			return settings, errors.WithMessage(err, override)
+		}
+	}
 	if err := settings.Validate(); err != nil {
 		return settings, errors.WithMessage(err, path)
 	}
