--- a/internal/query/operator/operator_test.go
+++ b/internal/query/operator/operator_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 	"gotest.tools/v3/assert"
@@ -41,3 +42,21 @@
 		})
 	}
 }
+
+// TestHeldBackRemovals checks that status and explain name the replicas that are used
+// although the store lacks their entries.
+func TestHeldBackRemovals(t *testing.T) {
+	replica := func(name string) *view.Replica {
+		return &view.Replica{Instance: api.Instance{Name: name}, Stats: &view.ReplicaStats{}}
+	}
+	shard := view.Shard{Name: "desk", Replicas: []*view.Replica{replica("desk-a"), replica("desk-b")}}
+	current := &view.View{
+		Scopes:           map[string]view.Scope{"burn": {Selections: map[string]view.Selection{"all": {Kind: "all", Shards: []view.Shard{shard}}}}},
+		HeldBackRemovals: []view.HeldBackRemoval{{Key: "instances/desk-b", Replicas: []string{"desk-b"}, DueAt: time.Unix(7, 0)}},
+	}
+	explanation, err := Explain(current, "burn", "all")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, explanation.Shards[0].Replicas, []string{"desk-a", "desk-b"})
+	assert.DeepEqual(t, explanation.Shards[0].HeldBack, []string{"desk-b"})
+	assert.DeepEqual(t, StatusOf(current, "v", time.Unix(6, 0)).HeldBackRemovals, current.HeldBackRemovals)
+}
