--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -226,13 +226,16 @@
 // maxLoggedRemovals bounds the removals that are logged at once.
 const maxLoggedRemovals = 64
 
-// logRemovals logs by which rule removals were decided, and since when the platform had
-// been available then.
+// logRemovals logs by which rule removals were decided, and for how long the platform had
+// been available then, or -1 ns if it was not known to have answered.
 func (control *Control) logRemovals(removals []Removal) {
-	steadySince := steadySince(control.state)
+	steadyFor := time.Duration(-1)
+	if steadySince := steadySince(control.state); !steadySince.IsZero() {
+		steadyFor = time.Since(steadySince)
+	}
 	for _, removal := range removals[:min(len(removals), maxLoggedRemovals)] {
 		control.logger.Info("removal decided", zap.String("key", removal.Document.Key), zap.Uint64("revision", removal.Document.Revision), zap.Uint64("era", removal.Document.Era),
-			zap.String("rule", string(removal.Rule)), zap.Bool("fromListing", removal.IsInferred), zap.Duration("platformSteadyFor", time.Since(steadySince)))
+			zap.String("rule", string(removal.Rule)), zap.Bool("fromListing", removal.IsInferred), zap.Duration("platformSteadyFor", steadyFor))
 	}
 	if omitted := len(removals) - maxLoggedRemovals; omitted > 0 {
 		control.logger.Info("further removals decided", zap.Int("count", omitted))
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -240,13 +241,13 @@
 	}}
 }
 
-// millisSince returns how many milliseconds ago start was, at least 1, or 0 if
-// start is the zero time.
+// millisSince returns how many milliseconds ago start was, at least 1 and at most what
+// fits, or 0 if start is the zero time.
 func millisSince(start time.Time) uint32 {
 	if start.IsZero() {
 		return 0
 	}
-	return uint32(max(time.Since(start).Milliseconds(), 1))
+	return uint32(min(max(time.Since(start).Milliseconds(), 1), math.MaxUint32))
 }
 
 // receiveDatagram acknowledges a probe of a peer, or completes the probe that an
