--- a/internal/command/control/availability.go
+++ b/internal/command/control/availability.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/message"
+	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
 // defaultOutageAfter is the default of State.OutageAfter, which fits the default settings
@@ -59,15 +60,20 @@
 // mayHaveLapsed reports whether a key may be missing only because its lease expired while
 // the store was unavailable, so that its owner is about to write it again.
 func mayHaveLapsed(state *State, now time.Time) bool {
+	return now.Before(lapseEnd(state, now))
+}
+
+// lapseEnd returns when a lease that may have expired while the store was unavailable no
+// longer explains that a key is missing.
+func lapseEnd(state *State, now time.Time) time.Time {
 	steadySince := steadySince(state)
-	return steadySince.IsZero() || now.Sub(steadySince) < registrationTime
+	if steadySince.IsZero() {
+		steadySince = now
+	}
+	return steadySince.Add(registrationTime)
 }
 
-// steadySince returns the time since which the store is known to have been available
-// without an interruption; zero if it is not known to have answered.
+// steadySince returns view.SteadySince of what the state knows of the platform.
 func steadySince(state *State) time.Time {
-	if state.PlatformReturnedAt.After(state.PlatformKnownSince) {
-		return state.PlatformReturnedAt
-	}
-	return state.PlatformKnownSince
+	return view.SteadySince(state.PlatformKnownSince, state.PlatformReturnedAt)
 }
--- a/internal/command/control/removal.go
+++ b/internal/command/control/removal.go
@@ -42,11 +42,7 @@
 		effects = applyDocument(state, deletion)
 	case view.RemovalHeldBack:
 		effects = applyDocument(state, known)
-		dueAt := steadySince(state).Add(registrationTime)
-		if steadySince(state).IsZero() {
-			dueAt = now.Add(registrationTime)
-		}
-		effects.merge(holdBack(state, deletion, dueAt))
+		effects.merge(holdBack(state, deletion, lapseEnd(state, now)))
 	case view.RemovalLost:
 		effects = applyDocument(state, known)
 	}
@@ -75,7 +71,7 @@
 	return heldBack
 }
 
-// Removal is the decision about one removal.
+// Removal is the decision about one removal, to be logged.
 type Removal struct {
 	Document   api.Document
 	Rule       view.RemovalRule
--- a/internal/query/operator/operator.go
+++ b/internal/query/operator/operator.go
@@ -47,7 +47,10 @@
 	// number of documents that are held back until their keys may be written again.
 	Era              uint64 `json:"era,omitempty"`
 	PendingDocuments int    `json:"pendingDocuments,omitempty"`
-	// HeldBackRemovals describes the removals among them.
+	// PlatformSteadyMillis is for how long the platform is known to have been available
+	// without an interruption; -1 if it is not known to have answered.
+	PlatformSteadyMillis int64 `json:"platformSteadyMillis"`
+	// HeldBackRemovals describes the removals among the pending documents.
 	HeldBackRemovals []view.HeldBackRemoval `json:"heldBackRemovals,omitempty"`
 	Keys             []view.KeyStatus       `json:"keys"`
 	Members          []MemberStatus         `json:"members"`
@@ -125,13 +128,16 @@
 		IsReader:          current.IsReader,
 		ViewNumber:        current.Number,
 		PlatformAgeMillis: -1,
-		StaleAnswers:      current.StaleAnswers,
-		Era:               current.Era,
-		PendingDocuments:  current.PendingCount,
-		Keys:              current.KeyStatuses,
+
+		PlatformSteadyMillis: -1,
+		StaleAnswers:         current.StaleAnswers,
+		Era:                  current.Era,
+		PendingDocuments:     current.PendingCount,
+		Keys:                 current.KeyStatuses,
 	}
 	if !current.PlatformAnsweredAt.IsZero() {
 		status.PlatformAgeMillis = now.Sub(current.PlatformAnsweredAt).Milliseconds()
+		status.PlatformSteadyMillis = now.Sub(current.PlatformSteadySince()).Milliseconds()
 	}
 	for _, member := range current.Members {
 		memberstatus := memberStatus(member)
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -101,6 +101,21 @@
 	PendingCount int
 }
 
+// PlatformSteadySince returns SteadySince of what the View knows of the platform.
+func (view *View) PlatformSteadySince() time.Time {
+	return SteadySince(view.PlatformKnownSince, view.PlatformReturnedAt)
+}
+
+// SteadySince returns the time since which the platform is known to have been available
+// without an interruption, from its first known answer and the end of its latest known
+// outage; zero if it is not known to have answered.
+func SteadySince(knownSince, returnedAt time.Time) time.Time {
+	if returnedAt.After(knownSince) {
+		return returnedAt
+	}
+	return knownSince
+}
+
 // IsServing reports whether the named alive member is one of the serving members.
 func (view *View) IsServing(name string) bool { return view.Serving == nil || view.Serving[name] }
 
