--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -332,9 +332,9 @@
 			wire.WriteRefusal(writer, http.StatusServiceUnavailable, "the instance serves its most requests", time.Second)
 			return
 		}
-		work := instance.guard.BeginWork()
-		defer work.End()
-		next.ServeHTTP(writer, request.WithContext(schedulecaller.NewContext(ctx, work)))
+		account := instance.guard.OpenRequest()
+		defer account.Close()
+		next.ServeHTTP(writer, request.WithContext(schedulecaller.NewContext(ctx, account)))
 	})
 }
 
--- a/internal/process/instance/policies.go
+++ b/internal/process/instance/policies.go
@@ -147,9 +147,9 @@
 // the callers' requests.
 func (instance *Instance) accountHomeQuery(next serveHomeQuery) serveHomeQuery {
 	return func(ctx context.Context, query api.HomeQuery, send func(partialanswer api.PartialAnswer) error) {
-		work := instance.guard.BeginWork()
-		defer work.End()
-		next(schedulecaller.NewContext(ctx, work), query, send)
+		account := instance.guard.OpenRequest()
+		defer account.Close()
+		next(schedulecaller.NewContext(ctx, account), query, send)
 	}
 }
 
--- a/internal/query/upstream/homequery.go
+++ b/internal/query/upstream/homequery.go
@@ -97,7 +97,7 @@
 		}
 		homequery.addTrace(trace.HomeFailed, err.Error())
 	}
-	if !caller.WorkFrom(homequery.ctx).Hold(caller.PartFanout, int64(len(homequery.unsettledShards)*shardQueryBytes)) {
+	if !caller.AccountFrom(homequery.ctx).Hold(caller.PartFanout, int64(len(homequery.unsettledShards)*shardQueryBytes)) {
 		for name := range homequery.unsettledShards {
 			pass.request.Trace.Add(trace.ShardOmitted, name, "", reasonNoMemory)
 			pass.deliver(homequery.ctx, &shardResult{shard: name, reason: api.MissingRefused, retryAfter: noMemoryRetryAfter})
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -98,7 +98,7 @@
 // no memory for it.
 func (pass *pass[C, H, L, P]) start(ctx context.Context) bool {
 	localShards, groups := pass.fanout.Placement.Place(&pass.request)
-	if !caller.WorkFrom(ctx).Hold(caller.PartFanout, int64(len(localShards)*shardQueryBytes+len(groups)*homeQueryBytes)) {
+	if !caller.AccountFrom(ctx).Hold(caller.PartFanout, int64(len(localShards)*shardQueryBytes+len(groups)*homeQueryBytes)) {
 		pass.fanout.Metrics.Add("queries.refusedForMemory", 1)
 		pass.request.Trace.Add(trace.RequestRefused, "", "", reasonNoMemory)
 		return false
--- a/internal/schedule/caller/work.go
+++ b/internal/schedule/caller/requestaccount.go
@@ -88,72 +88,74 @@
 	guard.signal()
 }
 
-// Work is what an instance holds for one request while it runs. Its methods may be called
-// concurrently, and on a nil Work, which accounts for nothing.
-type Work struct {
+// RequestAccount is what an instance holds for one request while it runs. Its methods may
+// be called concurrently, and Hold and Close on a nil account, which counts nothing.
+type RequestAccount struct {
 	guard *Guard
 
 	// mutex guards the fields below.
 	mutex sync.Mutex
 	held  map[Part]int64
-	// isEnded is set when the request has been answered.
-	isEnded bool
+	// isClosed is set when the request has been answered.
+	isClosed bool
 }
 
-// BeginWork returns the account of a request that begins to run. End must be called when it
-// has been answered.
-func (guard *Guard) BeginWork() *Work { return &Work{guard: guard, held: make(map[Part]int64)} }
+// OpenRequest returns the account of a request that begins to run. Close must be called
+// when it has been answered.
+func (guard *Guard) OpenRequest() *RequestAccount {
+	return &RequestAccount{guard: guard, held: make(map[Part]int64)}
+}
 
-// Hold adds bytes of a part until End, and reports whether they may be held.
-func (work *Work) Hold(part Part, bytes int64) bool {
-	if work == nil {
+// Hold adds bytes of a part until Close, and reports whether they may be held.
+func (requestaccount *RequestAccount) Hold(part Part, bytes int64) bool {
+	if requestaccount == nil {
 		return true
 	}
-	work.mutex.Lock()
-	held := work.held[part]
-	work.mutex.Unlock()
-	if !work.guard.Hold(part, held, bytes) {
+	requestaccount.mutex.Lock()
+	held := requestaccount.held[part]
+	requestaccount.mutex.Unlock()
+	if !requestaccount.guard.Hold(part, held, bytes) {
 		return false
 	}
-	work.Adopt(part, bytes)
+	requestaccount.Adopt(part, bytes)
 	return true
 }
 
-// Adopt takes over bytes of a part that the guard has granted. After End it releases them.
-func (work *Work) Adopt(part Part, bytes int64) {
-	work.mutex.Lock()
-	defer work.mutex.Unlock()
-	if work.isEnded {
-		work.guard.Release(part, bytes)
+// Adopt takes over bytes of a part that the guard has granted. After Close it releases them.
+func (requestaccount *RequestAccount) Adopt(part Part, bytes int64) {
+	requestaccount.mutex.Lock()
+	defer requestaccount.mutex.Unlock()
+	if requestaccount.isClosed {
+		requestaccount.guard.Release(part, bytes)
 		return
 	}
-	work.held[part] += bytes
+	requestaccount.held[part] += bytes
 }
 
-// End releases all that is held.
-func (work *Work) End() {
-	if work == nil {
+// Close releases all that is held.
+func (requestaccount *RequestAccount) Close() {
+	if requestaccount == nil {
 		return
 	}
-	work.mutex.Lock()
-	defer work.mutex.Unlock()
-	work.isEnded = true
-	for part, bytes := range work.held {
-		work.guard.Release(part, bytes)
+	requestaccount.mutex.Lock()
+	defer requestaccount.mutex.Unlock()
+	requestaccount.isClosed = true
+	for part, bytes := range requestaccount.held {
+		requestaccount.guard.Release(part, bytes)
 	}
-	clear(work.held)
+	clear(requestaccount.held)
 }
 
-// workKey is the context key of a request's Work.
-type workKey struct{}
+// requestKey is the context key of a RequestAccount.
+type requestKey struct{}
 
 // NewContext returns a context with the account of the request that it belongs to.
-func NewContext(ctx context.Context, work *Work) context.Context {
-	return context.WithValue(ctx, workKey{}, work)
+func NewContext(ctx context.Context, requestaccount *RequestAccount) context.Context {
+	return context.WithValue(ctx, requestKey{}, requestaccount)
 }
 
-// WorkFrom returns the account in ctx, or nil.
-func WorkFrom(ctx context.Context) *Work {
-	work, _ := ctx.Value(workKey{}).(*Work)
-	return work
+// AccountFrom returns the account in ctx, or nil.
+func AccountFrom(ctx context.Context) *RequestAccount {
+	requestaccount, _ := ctx.Value(requestKey{}).(*RequestAccount)
+	return requestaccount
 }
--- a/internal/schedule/caller/work_test.go
+++ b/internal/schedule/caller/requestaccount_test.go
@@ -11,9 +11,9 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/metrics"
 )
 
-// workLimits returns limits for a total of 100 bytes, of which running requests may hold
+// requestLimits returns limits for a total of 100 bytes, of which running requests may hold
 // 50, and large answers 40.
-func workLimits() caller.MemoryLimits {
+func requestLimits() caller.MemoryLimits {
 	return caller.MemoryLimits{
 		TotalBytes: 100, LargeBytes: 100, SmallBytes: 100, ConnectionBytes: 10,
 		Parts: map[caller.Part]caller.PartLimits{
@@ -23,9 +23,9 @@
 	}
 }
 
-// TestWorkOfCrowds plays crowds whose requests run at the same time, or whose replicas send
+// TestRequestsOfCrowds plays crowds whose requests run at the same time, or whose replicas send
 // answers without end. Each grows as far as it may.
-func TestWorkOfCrowds(t *testing.T) {
+func TestRequestsOfCrowds(t *testing.T) {
 	tests := map[string]struct {
 		part     caller.Part
 		requests int
@@ -49,7 +49,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			memory := caller.NewMemory[int](workLimits())
+			memory := caller.NewMemory[int](requestLimits())
 			for number := range test.idleConns + test.runningConns {
 				holder, _ := memory.Open(number, "caller", 0)
 				if number >= test.idleConns {
@@ -83,19 +83,19 @@
 	}
 }
 
-// TestWorkEnds checks that the account of a request releases what it holds when it ends,
+// TestRequestAccountCloses checks that the account of a request releases what it holds when it is closed,
 // and what it takes over after that.
-func TestWorkEnds(t *testing.T) {
-	guard := caller.NewGuard("callers", workLimits(), func() time.Duration { return 0 }, metrics.New(), zap.NewNop())
-	work := guard.BeginWork()
-	assert.Assert(t, work.Hold(caller.PartFanout, 30))
-	assert.Assert(t, !work.Hold(caller.PartFanout, 30))
+func TestRequestAccountCloses(t *testing.T) {
+	guard := caller.NewGuard("callers", requestLimits(), func() time.Duration { return 0 }, metrics.New(), zap.NewNop())
+	account := guard.OpenRequest()
+	assert.Assert(t, account.Hold(caller.PartFanout, 30))
+	assert.Assert(t, !account.Hold(caller.PartFanout, 30))
 	assert.Assert(t, guard.Hold(caller.PartReplies, 0, 15))
-	work.Adopt(caller.PartReplies, 15)
-	work.End()
+	account.Adopt(caller.PartReplies, 15)
+	account.Close()
 	assert.Assert(t, guard.Hold(caller.PartFanout, 0, 50))
 	guard.Release(caller.PartFanout, 50)
 	assert.Assert(t, guard.Hold(caller.PartReplies, 0, 20))
-	work.Adopt(caller.PartReplies, 20)
+	account.Adopt(caller.PartReplies, 20)
 	assert.Assert(t, guard.Hold(caller.PartReplies, 0, 20))
 }
--- a/internal/wire/http/limitedreader.go
+++ b/internal/wire/http/limitedreader.go
@@ -18,9 +18,9 @@
 	reader io.Reader
 	// remaining is the number of bytes that may still be read.
 	remaining int
-	// reading accounts for what is read beyond the next free bytes, and bytesFactor is the
+	// account counts what is read beyond the next free bytes, and bytesFactor is the
 	// memory that a byte takes.
-	reading     caller.Reading
+	account     caller.ReplyAccount
 	bytesFactor int64
 	free        int
 }
@@ -35,7 +35,7 @@
 	limitedreader.remaining -= count
 	accounted := max(count-limitedreader.free, 0)
 	limitedreader.free -= count - accounted
-	if growErr := limitedreader.reading.Grow(int64(accounted) * limitedreader.bytesFactor); growErr != nil {
+	if growErr := limitedreader.account.Grow(int64(accounted) * limitedreader.bytesFactor); growErr != nil {
 		return 0, growErr
 	}
 	return count, err
--- a/internal/wire/http/link.go
+++ b/internal/wire/http/link.go
@@ -228,9 +228,9 @@
 	if err := link.match(response, attempt.Identity, used); err != nil {
 		return api.Reply{}, &SendError{Step: "match reply of", Peer: link.address, MayHaveRun: true, Cause: err}
 	}
-	reading := &caller.Reading{Guard: link.guard, FreeBytes: replyBodyBytesFactor * freeReplyBytes}
-	reply, err := decodeReply(response, reading)
-	reading.MoveTo(caller.WorkFrom(ctx))
+	account := &caller.ReplyAccount{Guard: link.guard, FreeBytes: replyBodyBytesFactor * freeReplyBytes}
+	reply, err := decodeReply(response, account)
+	account.MoveTo(caller.AccountFrom(ctx))
 	if err != nil {
 		return reply, &SendError{Step: "read reply of", Peer: link.address, MayHaveRun: true, Cause: err}
 	}
--- a/internal/wire/http/relayconn.go
+++ b/internal/wire/http/relayconn.go
@@ -127,7 +127,7 @@
 	_ = relayconn.conn.SetReadDeadline(time.Now().Add(wait))
 	defer func() { _ = relayconn.conn.SetReadDeadline(time.Time{}) }()
 	relayconn.limit.remaining = maxReplyHeadBytes
-	defer relayconn.limit.reading.Release()
+	defer relayconn.limit.account.Release()
 	_, err := relayconn.reader.Peek(1)
 	return err == nil || isReset(err) || errors.Is(err, io.EOF)
 }
@@ -175,10 +175,10 @@
 	relayconn.endExchange()
 	if err != nil {
 		relayconn.mustClose = true
-		relayconn.limit.reading.Release()
+		relayconn.limit.account.Release()
 		return nil, err
 	}
-	relayconn.limit.reading.MoveTo(caller.WorkFrom(ctx))
+	relayconn.limit.account.MoveTo(caller.AccountFrom(ctx))
 	relayconn.lastAnswer = time.Now()
 	return response, nil
 }
--- a/internal/wire/http/relaylink.go
+++ b/internal/wire/http/relaylink.go
@@ -405,7 +405,7 @@
 		return nil, err
 	}
 	relayconn := newRelayConn(conn.(*net.TCPConn))
-	relayconn.limit.reading.Guard = relaylink.guard
+	relayconn.limit.account.Guard = relaylink.guard
 	relayconn.reusableUntil = time.Now().Add(relayIdleTimeout)
 	return relayconn, nil
 }
--- a/internal/wire/http/replymemory_test.go
+++ b/internal/wire/http/replymemory_test.go
@@ -48,8 +48,8 @@
 	for name, answer := range tests {
 		t.Run(name, func(t *testing.T) {
 			guard := newReplyGuard()
-			work := guard.BeginWork()
-			ctx, cancel := context.WithTimeout(caller.NewContext(t.Context(), work), time.Second)
+			account := guard.OpenRequest()
+			ctx, cancel := context.WithTimeout(caller.NewContext(t.Context(), account), time.Second)
 			defer cancel()
 			var requests sync.WaitGroup
 			for range 30 {
@@ -76,7 +76,7 @@
 			assert.NilError(t, err)
 			assert.Equal(t, string(reply.Body), body)
 			requests.Wait()
-			work.End()
+			account.Close()
 			assert.Assert(t, guard.Hold(caller.PartReplies, 0, replyMemory), "memory is still held")
 		})
 	}
--- a/internal/wire/http/upstream.go
+++ b/internal/wire/http/upstream.go
@@ -130,10 +130,10 @@
 	return strings.Join(texts, ",")
 }
 
-// decodeReply reads a replica's complete reply, which reading accounts for. A truncated
+// decodeReply reads a replica's complete reply, which account counts. A truncated
 // body and one beyond MaxReplyBytes are errors.
-func decodeReply(response *http.Response, reading *caller.Reading) (api.Reply, error) {
-	body, err := readGrowing(reading.Reader(response.Body, replyBodyBytesFactor), response.ContentLength, MaxReplyBytes)
+func decodeReply(response *http.Response, account *caller.ReplyAccount) (api.Reply, error) {
+	body, err := readGrowing(account.Reader(response.Body, replyBodyBytesFactor), response.ContentLength, MaxReplyBytes)
 	if err != nil {
 		return api.Reply{}, err
 	}
--- a/internal/wire/quic/endpoint.go
+++ b/internal/wire/quic/endpoint.go
@@ -205,9 +205,9 @@
 		return api.PeerReply{}, err
 	}
 	defer cancelStreamOnDone(ctx, stream)()
-	reading := &caller.Reading{Guard: endpoint.inbound.guard, FreeBytes: freeReplyBytes}
-	defer reading.Release()
-	reply, err := cbor.Read[api.PeerReply](reading.Reader(stream, callBytesFactor))
+	account := &caller.ReplyAccount{Guard: endpoint.inbound.guard, FreeBytes: freeReplyBytes}
+	defer account.Release()
+	reply, err := cbor.Read[api.PeerReply](account.Reader(stream, callBytesFactor))
 	if err != nil {
 		return reply, &CallError{Step: "read reply of", Peer: address, Cause: err, MayHaveArrived: true}
 	}
@@ -223,9 +223,9 @@
 		return err
 	}
 	defer cancelStreamOnDone(ctx, stream)()
-	reading := &caller.Reading{Guard: endpoint.inbound.guard, FreeBytes: freeReplyBytes}
-	defer reading.Release()
-	answers := cbor.NewSequence[api.PartialAnswer](reading.Reader(stream, callBytesFactor))
+	account := &caller.ReplyAccount{Guard: endpoint.inbound.guard, FreeBytes: freeReplyBytes}
+	defer account.Release()
+	answers := cbor.NewSequence[api.PartialAnswer](account.Reader(stream, callBytesFactor))
 	for {
 		answer, err := answers.Next()
 		if err != nil {
