command/control, state/api: the writer's number decides which document is newer

Cause: documents were compared by the store's era and revision alone. A restored store states older documents at newer versions, so each comparison took the copy for newer; the control state only held it back for 2.5 s. Ruled out: a longer delay, since nothing bounds when the operator writes again; a decision of the reader alone, since gossip, digests and syncs compared the same versions.

api.Precedence orders the documents of one key: the writer's number first, then era and revision. The control state, gossip, syncs and digests use it. What the store states although it is older is kept as superseded, spread like a refused document, so that all instances agree and none reads it again; status, explain, two gauges and the log show it with the reason and the remedy. A removal has the number of what it removed. An older entry of a replica counts as missing (docs/design/removals.md). An instance that starts with a store that states an era waits for a peer for up to 1 s before it serves.

--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -30,14 +30,18 @@
 	state.viewNumber++
 	configuration, roles := state.configuration, state.roles
 	return &view.View{
-		Number:             state.viewNumber,
-		IsConfigured:       state.IsConfigured,
-		IsSettled:          state.IsSettled,
-		Self:               state.Self,
-		Members:            members,
-		ListedInstances:    configuration.listedInstances,
-		DocumentsInForce:   configuration.documentsInForce,
-		RefusedDocuments:   configuration.refusedDocuments,
+		Number:           state.viewNumber,
+		IsConfigured:     state.IsConfigured,
+		IsSettled:        state.IsSettled,
+		Self:             state.Self,
+		Members:          members,
+		ListedInstances:  configuration.listedInstances,
+		DocumentsInForce: configuration.documentsInForce,
+		RefusedDocuments: configuration.refusedDocuments,
+
+		SupersededDocuments: configuration.supersededDocuments,
+		SupersededKeys:      configuration.supersededKeys,
+
 		Neighbours:         roles.neighbours.Probed,
 		GossipNeighbours:   roles.neighbours.Gossip,
 		IsReader:           roles.isReader,
@@ -92,6 +96,10 @@
 		listedInstances:  listedInstances(state),
 		documentsInForce: documentsByKey(state.DocumentsInForce),
 		refusedDocuments: documentsByKey(state.RefusedDocuments),
+
+		supersededDocuments: supersededDocuments(state),
+		supersededKeys:      supersededKeys(state),
+
 		indexes:          indexes,
 		scopes:           scopes,
 		routes:           buildRoutes(scopes),
--- a/internal/command/control/configuration.go
+++ b/internal/command/control/configuration.go
@@ -34,15 +34,34 @@
 
 // applyConfigurationReceived records that the instance has the whole configuration, up
 // to the version that the message states.
-func applyConfigurationReceived(state *State, received message.ConfigurationReceived) Effects {
+func applyConfigurationReceived(state *State, received message.ConfigurationReceived, now time.Time) Effects {
 	effects := Effects{PublishStats: raiseCoveredVersion(state, received.Version)}
-	if !state.IsConfigured {
-		state.IsConfigured = true
-		effects.RebuildConfiguration = true
+	if received.NotBefore.After(now) {
+		state.configuredFrom = received.NotBefore
+		return effects
 	}
+	effects.merge(configure(state))
 	return effects
 }
 
+// configure records that the instance may serve by the documents that it has.
+func configure(state *State) Effects {
+	if state.IsConfigured {
+		return Effects{}
+	}
+	state.IsConfigured = true
+	return Effects{RebuildConfiguration: true}
+}
+
+// configureInTime lets the instance serve once it has waited long enough for a peer.
+func configureInTime(state *State, now time.Time) Effects {
+	if state.configuredFrom.IsZero() || now.Before(state.configuredFrom) {
+		return Effects{}
+	}
+	state.configuredFrom = time.Time{}
+	return configure(state)
+}
+
 // applyConfigurationAnnounced records that a peer has a newer configuration. Unlike
 // digests, which differ most of the time while replicas come and go, this tells that the
 // instance lacks something by which it must act.
--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -162,6 +162,7 @@
 		control.logger.Info("documents held back until their keys are written again", zap.Int("count", effects.HeldBackCount), zap.Uint64("era", control.state.Era))
 	}
 	control.logRemovals(effects.Removals)
+	control.logSuperseded(effects)
 	if effects.hasGossip() {
 		control.logChanges(effects.Gossip)
 		control.peerCalls.SendGossip(effects.Gossip)
@@ -242,6 +243,29 @@
 	}
 }
 
+// logSuperseded logs of which keys the store states an older document than the one in
+// force, why and what an operator can do about it, and of which it no longer does.
+func (control *Control) logSuperseded(effects Effects) {
+	keys := slices.Compact(slices.Sorted(slices.Values(effects.Superseded)))
+	for _, key := range keys[:min(len(keys), maxLoggedRemovals)] {
+		superseded, isSuperseded := control.state.SupersededDocuments[key]
+		if !isSuperseded {
+			continue
+		}
+		described := supersededKey(control.state, key, superseded)
+		control.logger.Warn("store states an older document than the one in force", zap.String("key", key),
+			zap.Uint64("statedNumber", described.StatedNumber.Sequence), zap.Uint64("statedEra", described.StatedEra), zap.Uint64("statedRevision", described.StatedRevision),
+			zap.Uint64("numberInForce", described.NumberInForce.Sequence), zap.Uint64("eraInForce", described.EraInForce), zap.Uint64("revisionInForce", described.RevisionInForce),
+			zap.Bool("removed", described.IsRemoved), zap.String("reason", string(described.Reason)), zap.String("remedy", described.Remedy()))
+	}
+	if omitted := len(keys) - maxLoggedRemovals; omitted > 0 {
+		control.logger.Warn("store states further older documents", zap.Int("count", omitted))
+	}
+	if restatedCount := len(effects.Restated); restatedCount > 0 {
+		control.logger.Info("store states the documents in force again", zap.Int("count", restatedCount), zap.Strings("first", effects.Restated[:min(restatedCount, maxLoggedMembers)]))
+	}
+}
+
 // logChanges logs changes that this instance learned or detected.
 func (control *Control) logChanges(gossip api.Gossip) {
 	for _, member := range gossip.Members {
@@ -255,9 +279,16 @@
 	}
 }
 
-// logDocument logs whether a new version of a key is in force or refused.
+// logDocument logs whether a new version of a key is in force or refused. One that is
+// superseded is logged by logSuperseded.
 func (control *Control) logDocument(keyrevision api.KeyRevision) {
+	if superseded := control.state.SupersededDocuments[keyrevision.Key].Decoded.Document; superseded.Version() == keyrevision.Version() {
+		return
+	}
 	fields := []zap.Field{zap.String("key", keyrevision.Key), zap.Uint64("revision", keyrevision.Revision)}
+	if !keyrevision.Number.IsZero() {
+		fields = append(fields, zap.Uint64("number", keyrevision.Number.Sequence))
+	}
 	if keyrevision.Era > 0 {
 		fields = append(fields, zap.Uint64("era", keyrevision.Era))
 	}
--- a/internal/command/control/digest.go
+++ b/internal/command/control/digest.go
@@ -19,12 +19,19 @@
 	for _, decoded := range state.RefusedDocuments {
 		digest ^= documentDigest("refused", decoded.Document)
 	}
+	for _, superseded := range state.SupersededDocuments {
+		digest ^= documentDigest("superseded", superseded.Decoded.Document)
+	}
 	return digest
 }
 
 // documentDigest hashes the version of one document. The hash in era 0 is that of
-// instances which know no eras.
+// instances which know no eras. The version tells the number, except of a removal, whose
+// number depends on what the deciding instance knew.
 func documentDigest(kind string, document api.Document) uint64 {
+	if number := document.Number; document.IsDeleted && !number.IsZero() {
+		return entryDigest(kind, document.Key, document.Revision, document.Era, number.Incarnation, number.Sequence)
+	}
 	if document.Era == 0 {
 		return entryDigest(kind, document.Key, document.Revision)
 	}
--- a/internal/command/control/effects.go
+++ b/internal/command/control/effects.go
@@ -26,6 +26,9 @@
 	HeldBackCount int
 	// Removals holds the decisions about removals, to be logged.
 	Removals []Removal
+	// Superseded holds the keys of which the store was found to state an older document
+	// than the one in force, and Restated those of which it no longer does, to be logged.
+	Superseded, Restated []string
 }
 
 // merge adds the actions of other.
@@ -38,6 +41,8 @@
 	effects.IsEraRaised = effects.IsEraRaised || other.IsEraRaised
 	effects.HeldBackCount += other.HeldBackCount
 	effects.Removals = append(effects.Removals, other.Removals...)
+	effects.Superseded = append(effects.Superseded, other.Superseded...)
+	effects.Restated = append(effects.Restated, other.Restated...)
 	effects.Gossip.Merge(other.Gossip)
 }
 
--- a/internal/command/control/pending.go
+++ b/internal/command/control/pending.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
@@ -26,19 +25,24 @@
 // again.
 func receiveDocument(state *State, received message.DocumentReceived, now time.Time) Effects {
 	decoded := received.Decoded
+	key := decoded.Document.Key
 	effects := learnEra(state, decoded.Document.Era, now)
-	inForce, isKnown := state.DocumentsInForce[decoded.Document.Key]
+	inForce, isKnown := state.DocumentsInForce[key]
 	isNewEra := isKnown && decoded.Document.Era > inForce.Document.Era
 	switch {
 	case received.IsFromPlatform && decoded.Document.IsDeleted:
 		effects.merge(receiveRemoval(state, inForce, decoded, false, now))
 	case !received.IsFromPlatform && isUnlisted(state, decoded.Document):
-		effects.merge(receiveRemoval(state, decoded, inferredDeletion(decoded.Document.Key, state.ListedVersion), true, now))
+		effects.merge(receiveRemoval(state, decoded, inferredDeletion(key, state.ListedVersion), true, now))
+	case isRemovedProcess(inForce, decoded):
+		removal := inferredDeletion(key, decoded.Document.Version())
+		effects.merge(applyDocument(state, followingRemoval(removal, inForce.Document.Number), now))
 	case isNewEra && mayBeOutdated(state, inForce, decoded):
 		effects.merge(holdBack(state, decoded, now.Add(holdBackTime)))
 	default:
-		effects.merge(applyDocument(state, decoded))
+		effects.merge(applyDocument(state, decoded, now))
 	}
+	effects.merge(receiveOlderEntry(state, key, now))
 	return effects
 }
 
@@ -64,7 +68,7 @@
 // mayBeOutdated reports whether decoded, a document of a later era than inForce, may be
 // what the store held of the key before it lost inForce. A removal is not: it follows
 // the copy, or a peer has held it back already. If the writer numbers its documents,
-// the numbers tell. Otherwise a lower revision with another content may be from before
+// api.Precedence tells. Otherwise a lower revision with another content may be from before
 // the loss, unless an older document of its era is pending: that one is from the copy
 // then, and decoded was written after it.
 func mayBeOutdated(state *State, inForce, decoded api.DecodedDocument) bool {
@@ -73,30 +77,14 @@
 	if document.IsDeleted || isUnchanged || decoded.RefusalReason != "" {
 		return false
 	}
-	if order, areNumbered := compareWrites(decoded, inForce); areNumbered {
-		return order < 0
+	if !document.Number.IsZero() && !inForce.Document.Number.IsZero() {
+		return false
 	}
 	pending := state.PendingDocuments[document.Key].Decoded.Document
 	isWrittenAgain := pending.Era == document.Era && document.Version().After(pending.Version())
 	return !isWrittenAgain && document.Revision < inForce.Document.Revision
 }
 
-// compareWrites compares two documents of one key in the order in which their writer
-// numbers them. It reports false if one of them has no number.
-func compareWrites(a, b api.DecodedDocument) (order int, areNumbered bool) {
-	if a.Sequence > 0 && b.Sequence > 0 {
-		return cmp.Compare(a.Sequence, b.Sequence), true
-	}
-	if a.Instances == nil || b.Instances == nil || len(a.Instances.Instances) != 1 || len(b.Instances.Instances) != 1 {
-		return 0, false
-	}
-	first, second := a.Instances.Instances[0], b.Instances.Instances[0]
-	if first.Incarnation != second.Incarnation {
-		return cmp.Compare(first.Incarnation, second.Incarnation), true
-	}
-	return cmp.Compare(first.Sequence, second.Sequence), first.Sequence > 0 && second.Sequence > 0
-}
-
 // holdBack makes a document pending until dueAt that is newer than the one in force and
 // than a pending one. A document of the same era as the pending one replaces it without
 // further delay.
@@ -104,8 +92,8 @@
 	document := decoded.Document
 	pendingdocument, isPending := state.PendingDocuments[document.Key]
 	pending := pendingdocument.Decoded.Document
-	known := api.Latest(state.DocumentsInForce[document.Key].Document.Version(), pending.Version())
-	if !document.Version().After(known) {
+	isNewer := document.Precedence().After(state.DocumentsInForce[document.Key].Document.Precedence()) && document.Precedence().After(pending.Precedence())
+	if !isNewer {
 		return Effects{}
 	}
 	if isPending && pending.Era == document.Era {
@@ -123,7 +111,7 @@
 		isSteady := pendingdocument.Decoded.Document.IsDeleted && !mayHaveLapsed(state, now)
 		if isSteady || now.After(pendingdocument.DueAt) {
 			delete(state.PendingDocuments, key)
-			effects.merge(applyDocument(state, pendingdocument.Decoded))
+			effects.merge(applyDocument(state, pendingdocument.Decoded, now))
 		}
 	}
 	return effects
--- a/internal/command/control/removal.go
+++ b/internal/command/control/removal.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -18,9 +19,10 @@
 // follows from a listing (isInferred), applies to the document inForce. All removals but
 // those that a peer has applied are decided here.
 func decideRemoval(state *State, inForce, deletion api.DecodedDocument, isInferred bool, now time.Time) view.RemovalRule {
-	isNewEra := deletion.Document.Era > inForce.Document.Era
+	stated := api.Latest(inForce.Document.Version(), validVersion(state, deletion.Document.Key))
+	isNewEra := deletion.Document.Era > stated.Era
 	switch {
-	case isNewEra && isInferred && isConfiguration(inForce):
+	case isNewEra && isInferred && definesConfiguration(inForce):
 		// The store lost it, nobody took it back.
 		return view.RemovalLost
 	case !isNewEra && definesConfiguration(inForce):
@@ -36,15 +38,17 @@
 // drops it. The parameter known is the document in force, or the one that a peer has.
 func receiveRemoval(state *State, known, deletion api.DecodedDocument, isInferred bool, now time.Time) Effects {
 	rule := decideRemoval(state, known, deletion, isInferred, now)
+	deletion = followingRemoval(deletion, known.Document.Number)
+	deletion = followingRemoval(deletion, state.DocumentsInForce[deletion.Document.Key].Document.Number)
 	var effects Effects
 	switch rule {
 	case view.RemovalApplied:
-		effects = applyDocument(state, deletion)
+		effects = applyDocument(state, deletion, now)
 	case view.RemovalHeldBack:
-		effects = applyDocument(state, known)
+		effects = applyDocument(state, known, now)
 		effects.merge(holdBack(state, deletion, lapseEnd(state, now)))
 	case view.RemovalLost:
-		effects = applyDocument(state, known)
+		effects = applyDocument(state, known, now)
 	}
 	state.RemovalCounts[rule]++
 	effects.PublishStats = true
@@ -86,32 +90,51 @@
 		return effects
 	}
 	state.ListedVersion = received.Version
-	for _, documents := range []map[string]api.DecodedDocument{state.DocumentsInForce, state.RefusedDocuments} {
-		for key, decoded := range documents {
-			isRemoved := decoded.Document.IsDeleted || received.Keys[key]
-			if !isRemoved && received.Version.After(knownVersion(state, key)) {
-				effects.merge(receiveRemoval(state, decoded, inferredDeletion(key, received.Version), true, now))
-			}
+	for key, decoded := range statedDocuments(state) {
+		isRemoved := decoded.Document.IsDeleted || received.Keys[key]
+		if !isRemoved && received.Version.After(knownVersion(state, key)) {
+			effects.merge(receiveRemoval(state, decoded, inferredDeletion(key, received.Version), true, now))
 		}
 	}
 	return effects
 }
 
+// statedDocuments returns the documents that a listing can lack: of each key the one in
+// force, or else the superseded or refused one.
+func statedDocuments(state *State) map[string]api.DecodedDocument {
+	documents := maps.Clone(state.RefusedDocuments)
+	for key, superseded := range state.SupersededDocuments {
+		documents[key] = superseded.Decoded
+	}
+	for key, decoded := range state.DocumentsInForce {
+		if _, isKnown := documents[key]; !isKnown || !decoded.Document.IsDeleted {
+			documents[key] = decoded
+		}
+	}
+	return documents
+}
+
 // isUnlisted reports whether a document that a peer sent is missing from the latest
 // listing of all documents, though it is older: the store has removed it. The removal is
 // not among the changes since the listing.
 func isUnlisted(state *State, document api.Document) bool {
-	return !document.IsDeleted && state.ListedVersion.After(document.Version()) &&
-		document.Version().After(knownVersion(state, document.Key))
+	key := document.Key
+	isNewer := document.Precedence().After(state.DocumentsInForce[key].Document.Precedence()) &&
+		document.Precedence().After(state.PendingDocuments[key].Decoded.Document.Precedence())
+	return !document.IsDeleted && isNewer && !isStatedInEra(state, key, state.ListedVersion.Era) && state.ListedVersion.After(document.Version())
+}
+
+// isStatedInEra reports whether the store stated a document of key in the era, and not
+// its removal.
+func isStatedInEra(state *State, key string, era uint64) bool {
+	inForce := state.DocumentsInForce[key].Document
+	isInForce := !inForce.IsDeleted && inForce.Revision > 0 && inForce.Era == era
+	return isInForce || statedVersion(state, key).Era == era && statedVersion(state, key).After(inForce.Version())
 }
 
-// knownVersion returns the newest version of key that is in force, refused or pending.
+// knownVersion returns the latest version of key that the store stated or that is pending.
 func knownVersion(state *State, key string) api.Version {
-	return api.Latest(
-		state.DocumentsInForce[key].Document.Version(),
-		state.RefusedDocuments[key].Document.Version(),
-		state.PendingDocuments[key].Decoded.Document.Version(),
-	)
+	return api.Latest(statedVersion(state, key), state.PendingDocuments[key].Decoded.Document.Version())
 }
 
 // inferredDeletion returns the deletion of key that follows from a listing of the given
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -50,20 +50,26 @@
 	// budget's slack, or nil if all divide it equally. It is an instantiation of
 	// peer.ChooseSenders.
 	ChooseSenders func(members map[string]api.Member) map[string]bool
-	// DocumentsInForce holds the newest valid document of each key, including
-	// deletions.
+	// DocumentsInForce holds the newest valid document of each key by
+	// api.Precedence, including deletions.
 	DocumentsInForce map[string]api.DecodedDocument
 	// IsConfigured is set once the documents of the whole configuration have been
 	// received. Until then, an unknown scope or route may only not have arrived.
 	IsConfigured bool
+	// configuredFrom is from when on the instance serves by the documents that it has, if
+	// no peer has sent it the whole configuration by then; zero if it need not wait.
+	configuredFrom time.Time
 	// IsSettled is set once this instance can be expected to know the other
 	// instances. It is never reset.
 	IsSettled bool
 	// startedAt is when this instance started, and memberJoinedAt when it last
 	// learned of an instance that it did not know.
 	startedAt, memberJoinedAt time.Time
-	// RefusedDocuments holds, by key, the newest invalid document that is newer
-	// than the one in force.
+	// SupersededDocuments holds, by key, the latest valid document that the store stated,
+	// if it stated that after the one in force, which has a higher number.
+	SupersededDocuments map[string]SupersededDocument
+	// RefusedDocuments holds, by key, the latest invalid document that the store stated
+	// after all valid ones.
 	RefusedDocuments map[string]api.DecodedDocument
 	// Members holds all known instances by name, including this one.
 	Members map[string]Member
@@ -142,6 +148,10 @@
 	listedInstances  []api.Instance
 	documentsInForce map[string]api.Document
 	refusedDocuments map[string]api.Document
+
+	supersededDocuments map[string]api.Document
+	supersededKeys      []view.SupersededKey
+
 	indexes          map[string]view.Index
 	scopes           map[string]view.Scope
 	routes           view.Routes
@@ -185,6 +195,9 @@
 
 		DocumentsInForce: make(map[string]api.DecodedDocument),
 		RefusedDocuments: make(map[string]api.DecodedDocument),
+
+		SupersededDocuments: make(map[string]SupersededDocument),
+
 		Members:          map[string]Member{self.Instance.Name: {Member: self, LearnedAt: now}},
 		PendingDocuments: make(map[string]PendingDocument),
 		RemovalCounts:    make(map[view.RemovalRule]int64),
@@ -204,7 +217,7 @@
 	case message.ListingReceived:
 		return applyListing(state, received, now)
 	case message.ConfigurationReceived:
-		return applyConfigurationReceived(state, received)
+		return applyConfigurationReceived(state, received, now)
 	case message.ConfigurationAnnounced:
 		return applyConfigurationAnnounced(state, received, now)
 	case message.MembersReceived:
@@ -238,29 +251,29 @@
 	return Effects{}
 }
 
-// applyDocument stores a document if its version is newer than the one in
-// force. An invalid document is only recorded as refused: the valid document
-// before it stays in force.
-func applyDocument(state *State, decoded api.DecodedDocument) Effects {
+// applyDocument stores a document if it is newer than the one in force. One that is
+// older, but that the store stated later, is recorded as superseded. An invalid document
+// is only recorded as refused: the valid document before it stays in force.
+func applyDocument(state *State, decoded api.DecodedDocument, now time.Time) Effects {
 	document := decoded.Document
-	if !document.Version().After(state.DocumentsInForce[document.Key].Document.Version()) {
-		return Effects{}
-	}
 	if decoded.RefusalReason != "" {
 		return applyRefusedDocument(state, decoded)
 	}
-	if inForce := state.DocumentsInForce[document.Key]; definesConfiguration(decoded) || definesConfiguration(inForce) {
-		raiseConfigurationVersion(state, document.Version())
+	inForce := state.DocumentsInForce[document.Key]
+	isNewer := document.Precedence().After(inForce.Document.Precedence())
+	if !isNewer && !document.Version().After(validVersion(state, document.Key)) {
+		return Effects{}
 	}
-	decoded.Instances = newerInstances(state.DocumentsInForce[document.Key].Instances, decoded.Instances)
-	state.DocumentsInForce[document.Key] = decoded
-	if !state.PendingDocuments[document.Key].Decoded.Document.Version().After(document.Version()) {
-		delete(state.PendingDocuments, document.Key)
+	if definesConfiguration(decoded) || definesConfiguration(inForce) {
+		raiseConfigurationVersion(state, document.Version())
 	}
 	if document.Version().After(state.RefusedDocuments[document.Key].Document.Version()) {
 		delete(state.RefusedDocuments, document.Key)
 	}
-	return documentChanged(document)
+	if isNewer {
+		return putInForce(state, decoded, now)
+	}
+	return supersede(state, decoded, now)
 }
 
 // newerInstances returns next, or known if next has an older incarnation of one
@@ -285,11 +298,11 @@
 	return next
 }
 
-// applyRefusedDocument records an invalid document if it is newer than the
-// refused one of its key.
+// applyRefusedDocument records an invalid document if the store stated it after all that
+// is known of its key.
 func applyRefusedDocument(state *State, decoded api.DecodedDocument) Effects {
 	document := decoded.Document
-	if !document.Version().After(state.RefusedDocuments[document.Key].Document.Version()) {
+	if !document.Version().After(statedVersion(state, document.Key)) {
 		return Effects{}
 	}
 	state.RefusedDocuments[document.Key] = decoded
@@ -298,8 +311,7 @@
 
 // documentChanged returns the effects of a new document, in force or refused.
 func documentChanged(document api.Document) Effects {
-	keyrevision := api.KeyRevision{Key: document.Key, Era: document.Era, Revision: document.Revision, IsDeleted: document.IsDeleted}
-	return Effects{RebuildConfiguration: true, Gossip: api.Gossip{Keys: []api.KeyRevision{keyrevision}}}
+	return Effects{RebuildConfiguration: true, Gossip: api.Gossip{Keys: []api.KeyRevision{document.KeyRevision()}}}
 }
 
 const (
@@ -378,6 +390,7 @@
 		return applyPause(state, gap)
 	}
 	effects := settleInTime(state, now)
+	effects.merge(configureInTime(state, now))
 	effects.merge(failExpiredSuspects(state, now))
 	effects.merge(applyDueDocuments(state, now))
 	effects.merge(applyObservedLeaving(state, now))
--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,8 +22,7 @@
 	current := peers.currentView.Load()
 	documentreader := &documentReader{peers: peers, address: gossip.From}
 	for _, keyrevision := range gossip.Keys {
-		known := current.KnownVersion(keyrevision.Key)
-		if !keyrevision.Version().After(known) || gossip.From == "" {
+		if !current.HeldVersions(keyrevision.Key).Lacks(keyrevision) || gossip.From == "" {
 			continue
 		}
 		if pendingread := peers.beginRead(keyrevision, gossip.From); pendingread != nil {
@@ -149,7 +149,7 @@
 	current := peers.currentView.Load()
 	var documents []api.Document
 	for _, key := range keys {
-		documents = appendNewer(documents, current, key, api.Version{}, api.Version{})
+		documents = append(documents, current.DocumentsLacked(key, view.HeldVersions{})...)
 	}
 	return peers.compressDocuments(documents)
 }
@@ -158,9 +158,13 @@
 // place, and returns documents. It compresses each version of a key only once.
 func (peers *Peers) compressDocuments(documents []api.Document) []api.Document {
 	for index, document := range documents {
-		known, isKnown := peers.compressedDocuments.Load(document.Key)
-		if isKnown && known.(api.Document).Version() == document.Version() {
-			documents[index] = known.(api.Document)
+		var compressedVersions []api.Document
+		if known, isKnown := peers.compressedDocuments.Load(document.Key); isKnown {
+			compressedVersions = known.([]api.Document)
+		}
+		isSame := func(known api.Document) bool { return known.Version() == document.Version() }
+		if knownIndex := slices.IndexFunc(compressedVersions, isSame); knownIndex >= 0 {
+			documents[index] = compressedVersions[knownIndex]
 			continue
 		}
 		compressed, err := cbor.CompressDocument(document)
@@ -169,33 +173,21 @@
 			continue
 		}
 		if len(compressed.Compressed) > 0 {
-			peers.compressedDocuments.Store(document.Key, compressed)
+			latest := append([]api.Document{compressed}, compressedVersions...)
+			peers.compressedDocuments.Store(document.Key, latest[:min(len(latest), 2)])
 		}
 		documents[index] = compressed
 	}
 	return documents
 }
 
-// appendNewer appends the documents of key that are newer than the given versions:
-// first the one in force, then the one that was refused.
-func appendNewer(documents []api.Document, current *view.View, key string, inForce, refused api.Version) []api.Document {
-	if document, isKnown := current.DocumentsInForce[key]; isKnown && document.Version().After(inForce) {
-		documents = append(documents, document)
-	}
-	if document, isKnown := current.RefusedDocuments[key]; isKnown && document.Version().After(refused) {
-		documents = append(documents, document)
-	}
-	return documents
-}
-
 // answerSync sends the requesting peer to control as a member. It returns all
 // members, leaving replicas and stopped homes, and the documents that the peer
 // lacks.
 func (peers *Peers) answerSync(ctx context.Context, request api.SyncRequest) api.PeerReply {
 	_ = peers.mailbox.Send(ctx, message.GossipReceived{Gossip: api.Gossip{Members: []api.Member{request.From}}})
 	current := peers.currentView.Load()
-	inForce := versionsByKey(request.RevisionsInForce)
-	refused := versionsByKey(request.RefusedRevisions)
+	held := heldVersions(request)
 	now := time.Now()
 	reply := &api.SyncReply{
 		IsConfigured:          current.IsConfigured,
@@ -213,8 +205,7 @@
 		reply.StoppedHomes = append(reply.StoppedHomes, timestamped.Value)
 	}
 	for _, status := range current.KeyStatuses {
-		key := status.Key
-		reply.Documents = appendNewer(reply.Documents, current, key, inForce[key], refused[key])
+		reply.Documents = append(reply.Documents, current.DocumentsLacked(status.Key, held[status.Key])...)
 	}
 	reply.Documents = peers.compressDocuments(reply.Documents)
 	for name, member := range current.Members {
@@ -231,13 +222,23 @@
 	return uint32(max(now.Sub(start)+time.Second-1, 0) / time.Second)
 }
 
-// versionsByKey returns the version of each of the listed keys.
-func versionsByKey(keys []api.KeyRevision) map[string]api.Version {
-	versions := make(map[string]api.Version, len(keys))
-	for _, key := range keys {
-		versions[key.Key] = key.Version()
+// heldVersions returns what the sender of request holds of each key.
+func heldVersions(request api.SyncRequest) map[string]view.HeldVersions {
+	held := make(map[string]view.HeldVersions, len(request.RevisionsInForce))
+	for _, key := range request.RevisionsInForce {
+		held[key.Key] = view.HeldVersions{InForce: key.Precedence()}
+	}
+	for _, key := range request.RefusedRevisions {
+		versions := held[key.Key]
+		versions.Refused = key.Version()
+		held[key.Key] = versions
 	}
-	return versions
+	for _, key := range request.SupersededRevisions {
+		versions := held[key.Key]
+		versions.Superseded = key.Version()
+		held[key.Key] = versions
+	}
+	return held
 }
 
 // Sync asks the peer at address for everything that this instance lacks, and sends
@@ -245,11 +246,14 @@
 func (peers *Peers) Sync(ctx context.Context, address string) error {
 	current := peers.currentView.Load()
 	request := &api.SyncRequest{From: current.Self}
-	for key, document := range current.DocumentsInForce {
-		request.RevisionsInForce = append(request.RevisionsInForce, api.KeyRevision{Key: key, Era: document.Era, Revision: document.Revision})
+	for _, document := range current.DocumentsInForce {
+		request.RevisionsInForce = append(request.RevisionsInForce, document.KeyRevision())
+	}
+	for _, document := range current.RefusedDocuments {
+		request.RefusedRevisions = append(request.RefusedRevisions, document.KeyRevision())
 	}
-	for key, document := range current.RefusedDocuments {
-		request.RefusedRevisions = append(request.RefusedRevisions, api.KeyRevision{Key: key, Era: document.Era, Revision: document.Revision})
+	for _, document := range current.SupersededDocuments {
+		request.SupersededRevisions = append(request.SupersededRevisions, document.KeyRevision())
 	}
 	reply, err := peers.endpoint.Call(ctx, address, api.PeerRequest{Sync: request})
 	if err != nil {
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -77,8 +77,9 @@
 	pendingProbes sync.Map
 	// syncTimes holds, by peer address, when the last sync with it started.
 	syncTimes sync.Map
-	// compressedDocuments holds, by key, the latest version of a long document in
-	// the compressed form in which it is sent to peers.
+	// compressedDocuments holds, by key, the latest two versions of a long document, as
+	// []api.Document, in the compressed form in which they are sent to peers: a key may
+	// have a document in force and a superseded one.
 	compressedDocuments sync.Map
 	// differingSince holds, by the name of a peer, since when its digests differ
 	// from those of this instance.
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -31,6 +31,10 @@
 	// peerPollInterval is how often a reader checks whether a peer has configured the
 	// instance.
 	peerPollInterval = 5 * time.Millisecond
+	// restoredPeerWait is how long after its start an instance waits for a peer before it
+	// serves by the listing of a store that states an era. It allows for several attempts
+	// to reach a peer.
+	restoredPeerWait = time.Second
 	minBackoff       = 100 * time.Millisecond
 	maxBackoff       = time.Second
 )
@@ -154,8 +158,8 @@
 		return err
 	}
 	if isListing && changes.Era > 0 {
-		// The store may hold less than peers, whose documents of an earlier era
-		// are not taken after those of the listing.
+		// The store may hold less than peers, whose documents without numbers are not
+		// taken after those of a listing in a later era.
 		reader.awaitPeers(ctx)
 	}
 	if err := reader.sendDocuments(ctx, changes); err != nil {
@@ -165,7 +169,7 @@
 		reader.awaitPeers(ctx)
 	}
 	if isListing || !current.ConfigurationLackedSince.IsZero() {
-		if err := reader.mailbox.Send(ctx, message.ConfigurationReceived{Version: changes.Version()}); err != nil {
+		if err := reader.mailbox.Send(ctx, message.ConfigurationReceived{Version: changes.Version(), NotBefore: reader.configuredFrom(changes.Era)}); err != nil {
 			return err
 		}
 	}
@@ -176,6 +180,16 @@
 	return nil
 }
 
+// configuredFrom returns from when on this instance serves by what it has read, without
+// a peer. A store that states an era may have been restored from a copy, so that only
+// peers know what callers have seen.
+func (reader *Reader[S]) configuredFrom(era uint64) time.Time {
+	if era == 0 {
+		return time.Time{}
+	}
+	return reader.startedAt.Add(restoredPeerWait)
+}
+
 // awaitPeers waits until a peer has configured this instance, for at most the time in
 // the settings after the start. The platform may be outdated; a peer that has been
 // running longer then has newer documents, which must be in force before requests are
@@ -248,6 +262,9 @@
 	for _, document := range current.RefusedDocuments {
 		newest = api.Latest(newest, document.Version())
 	}
+	for _, document := range current.SupersededDocuments {
+		newest = api.Latest(newest, document.Version())
+	}
 	return newest
 }
 
--- a/internal/process/instance/gauges.go
+++ b/internal/process/instance/gauges.go
@@ -5,14 +5,16 @@
 // exportGauges adds the gauges of the current View to the metrics.
 func (instance *Instance) exportGauges() {
 	gauges := map[string]func(current *view.View) int64{
-		"platform.era":              func(current *view.View) int64 { return int64(current.Era) },
-		"platform.pendingDocuments": func(current *view.View) int64 { return int64(current.PendingCount) },
-		"removals.applied":          func(current *view.View) int64 { return current.RemovalCounts[view.RemovalApplied] },
-		"removals.heldBack":         func(current *view.View) int64 { return current.RemovalCounts[view.RemovalHeldBack] },
-		"removals.lostByStore":      func(current *view.View) int64 { return current.RemovalCounts[view.RemovalLost] },
-		"members.serving":           func(current *view.View) int64 { return int64(current.ServingCount()) },
-		"members.overloaded":        func(current *view.View) int64 { return int64(current.OverloadedCount()) },
-		"retries.senders":           func(current *view.View) int64 { return int64(len(current.Senders.Names)) },
+		"platform.era":                      func(current *view.View) int64 { return int64(current.Era) },
+		"platform.pendingDocuments":         func(current *view.View) int64 { return int64(current.PendingCount) },
+		"platform.supersededDocuments":      func(current *view.View) int64 { return int64(len(current.SupersededKeys)) },
+		"platform.supersededConfigurations": func(current *view.View) int64 { return int64(len(current.SupersededConfigurations())) },
+		"removals.applied":                  func(current *view.View) int64 { return current.RemovalCounts[view.RemovalApplied] },
+		"removals.heldBack":                 func(current *view.View) int64 { return current.RemovalCounts[view.RemovalHeldBack] },
+		"removals.lostByStore":              func(current *view.View) int64 { return current.RemovalCounts[view.RemovalLost] },
+		"members.serving":                   func(current *view.View) int64 { return int64(current.ServingCount()) },
+		"members.overloaded":                func(current *view.View) int64 { return int64(current.OverloadedCount()) },
+		"retries.senders":                   func(current *view.View) int64 { return int64(len(current.Senders.Names)) },
 	}
 	for name, valueOf := range gauges {
 		instance.metrics.Gauge(name, func() int64 { return valueOf(instance.View()) })
--- a/internal/query/operator/operator.go
+++ b/internal/query/operator/operator.go
@@ -52,9 +52,12 @@
 	PlatformSteadyMillis int64 `json:"platformSteadyMillis"`
 	// HeldBackRemovals describes the removals among the pending documents.
 	HeldBackRemovals []view.HeldBackRemoval `json:"heldBackRemovals,omitempty"`
-	Keys             []view.KeyStatus       `json:"keys"`
-	Members          []MemberStatus         `json:"members"`
-	Indexes          []IndexStatus          `json:"indexes"`
+	// Superseded describes the keys of which the store states an older document than the
+	// one in force.
+	Superseded []SupersededStatus `json:"superseded,omitempty"`
+	Keys       []view.KeyStatus   `json:"keys"`
+	Members    []MemberStatus     `json:"members"`
+	Indexes    []IndexStatus      `json:"indexes"`
 	// LeavingReplicas names the replicas that are known to be draining.
 	LeavingReplicas []string `json:"leavingReplicas,omitempty"`
 	// EvacuatedDomains names the failure domains whose replicas are not used.
@@ -63,6 +66,15 @@
 	PacedReplicas []PacedReplica `json:"pacedReplicas,omitempty"`
 }
 
+// SupersededStatus is a key of which the store states an older document than the one in
+// force, with what an operator can do about it.
+type SupersededStatus struct {
+	view.SupersededKey
+	// AgeMillis is the time since the instance learned of it, in milliseconds.
+	AgeMillis int64  `json:"ageMillis"`
+	Remedy    string `json:"remedy"`
+}
+
 // PacedReplica is a replica that is cold or whose use is limited by its pace.
 type PacedReplica struct {
 	Name string `json:"name"`
@@ -157,10 +169,19 @@
 	slices.Sort(status.LeavingReplicas)
 	status.EvacuatedDomains = current.EvacuatedDomains
 	status.HeldBackRemovals = current.HeldBackRemovals
+	status.Superseded = supersededStatuses(current.SupersededKeys, now)
 	status.PacedReplicas = pacedReplicas(current, view.MonotonicNow())
 	return status
 }
 
+func supersededStatuses(keys []view.SupersededKey, now time.Time) []SupersededStatus {
+	var statuses []SupersededStatus
+	for _, supersededkey := range keys {
+		statuses = append(statuses, SupersededStatus{SupersededKey: supersededkey, AgeMillis: now.Sub(supersededkey.Since).Milliseconds(), Remedy: supersededkey.Remedy()})
+	}
+	return statuses
+}
+
 // pacedReplicas returns the replicas that are cold or paced, sorted by name. The
 // parameter now is the time since view.MonotonicOrigin.
 func pacedReplicas(current *view.View, now time.Duration) []PacedReplica {
@@ -213,6 +234,9 @@
 	IsCommand bool               `json:"command"`
 	Snapshot  uint64             `json:"snapshot"`
 	Shards    []ShardExplanation `json:"shards"`
+	// Superseded describes the configurations of which the store states an older one than
+	// that from which this follows.
+	Superseded []SupersededStatus `json:"superseded,omitempty"`
 }
 
 // ShardExplanation is a covered shard and the names of its replicas.
@@ -256,6 +280,8 @@
 		IsCommand: selection.IsCommand,
 		Snapshot:  current.Indexes[scope.Scope.Index].Snapshot,
 		Shards:    []ShardExplanation{},
+
+		Superseded: supersededStatuses(current.SupersededConfigurations(), time.Now()),
 	}
 	heldBack := make(map[string]bool)
 	for _, removal := range current.HeldBackRemovals {
--- a/internal/query/operator/operator_test.go
+++ b/internal/query/operator/operator_test.go
@@ -60,3 +60,26 @@
 	assert.DeepEqual(t, explanation.Shards[0].HeldBack, []string{"desk-b"})
 	assert.DeepEqual(t, StatusOf(current, "v", time.Unix(6, 0)).HeldBackRemovals, current.HeldBackRemovals)
 }
+
+// TestSuperseded checks that status and explain name the documents of the store that are
+// not in force, why, since when, and what to do about a configuration.
+func TestSuperseded(t *testing.T) {
+	number := func(sequence uint64) api.Number { return api.Number{Sequence: sequence} }
+	configuration := view.SupersededKey{
+		Key: "config", StatedNumber: number(7), StatedEra: 2, StatedRevision: 850, NumberInForce: number(9), EraInForce: 1, RevisionInForce: 900,
+		IsConfiguration: true, Reason: view.SupersededByRestore, Since: time.Unix(6, 0),
+	}
+	entry := view.SupersededKey{Key: "replica", StatedNumber: number(1), NumberInForce: number(2), Reason: view.SupersededByNumber, Since: time.Unix(6, 0)}
+	current := &view.View{
+		Scopes:         map[string]view.Scope{"burn": {Selections: map[string]view.Selection{"all": {Kind: "all"}}}},
+		SupersededKeys: []view.SupersededKey{configuration, entry},
+	}
+	status := StatusOf(current, "v", time.Unix(8, 0))
+	assert.Equal(t, len(status.Superseded), 2)
+	assert.Equal(t, status.Superseded[0].Remedy, "write a version above 9")
+	assert.Equal(t, status.Superseded[0].AgeMillis, int64(2000))
+	explanation, err := Explain(current, "burn", "all")
+	assert.NilError(t, err)
+	assert.Equal(t, len(explanation.Superseded), 1)
+	assert.Equal(t, explanation.Superseded[0].SupersededKey, configuration)
+}
--- a/internal/state/api/document.go
+++ b/internal/state/api/document.go
@@ -34,13 +34,26 @@
 	Compressed []byte `cbor:"5,keyasint,omitempty" json:"-"`
 	// Era is the era of the store to which Revision belongs.
 	Era uint64 `cbor:"6,keyasint,omitempty" json:"era,omitempty"`
+	// Number is the writer's number. It is read from Value; that of a removal is the
+	// highest number of what it removed.
+	Number Number `cbor:"7,keyasint,omitzero" json:"-"`
 }
 
-// Version returns the document's version.
+// Version returns the document's version in the store.
 func (document Document) Version() Version {
 	return Version{Era: document.Era, Revision: document.Revision}
 }
 
+// Precedence returns the document's place among the documents of its key.
+func (document Document) Precedence() Precedence {
+	return Precedence{Number: document.Number, Stored: document.Version(), IsDeleted: document.IsDeleted}
+}
+
+// KeyRevision returns the statement that the document is known.
+func (document Document) KeyRevision() KeyRevision {
+	return KeyRevision{Key: document.Key, Era: document.Era, Revision: document.Revision, IsDeleted: document.IsDeleted, Number: document.Number}
+}
+
 // DecodedDocument is a document with its decoded value. Unless the document is
 // deleted or refused, the field for its kind of document is set.
 type DecodedDocument struct {
@@ -53,9 +66,6 @@
 	Scopes []Scope
 	// Limits bounds what callers may send; nil if the document sets no limits.
 	Limits *CallerLimits
-	// Sequence orders the documents of one key as their writer numbers them; 0 if
-	// the writer does not.
-	Sequence uint64
 	// Evacuation asks for the evacuation of a failure domain.
 	Evacuation *Evacuation
 	// IgnoredReason states why a document that is in force contains nothing to
@@ -72,13 +82,20 @@
 	IsDeleted bool   `cbor:"3,keyasint,omitempty" json:"deleted,omitempty"`
 	// Era is the era of the store to which Revision belongs.
 	Era uint64 `cbor:"4,keyasint,omitempty" json:"era,omitempty"`
+	// Number is that of the document; zero if it has none or the sender states none.
+	Number Number `cbor:"5,keyasint,omitzero" json:"-"`
 }
 
-// Version returns the version of the key.
+// Version returns the version of the key in the store.
 func (keyrevision KeyRevision) Version() Version {
 	return Version{Era: keyrevision.Era, Revision: keyrevision.Revision}
 }
 
+// Precedence returns the place of the document among those of its key.
+func (keyrevision KeyRevision) Precedence() Precedence {
+	return Precedence{Number: keyrevision.Number, Stored: keyrevision.Version(), IsDeleted: keyrevision.IsDeleted}
+}
+
 // Listing is the platform's answer to a list or watch call.
 type Listing struct {
 	// Revision is the platform's store revision at the time of the answer.
--- a/internal/state/api/peer.go
+++ b/internal/state/api/peer.go
@@ -138,6 +138,9 @@
 	// that the sender uses and of those that it refused as invalid.
 	RevisionsInForce []KeyRevision `cbor:"2,keyasint"`
 	RefusedRevisions []KeyRevision `cbor:"3,keyasint,omitempty"`
+	// SupersededRevisions holds the versions of what the store states although the
+	// sender uses a newer document.
+	SupersededRevisions []KeyRevision `cbor:"4,keyasint,omitempty"`
 }
 
 // SyncReply holds the state that the sender of a SyncRequest does not have.
--- a/internal/state/message/message.go
+++ b/internal/state/message/message.go
@@ -33,6 +33,9 @@
 	// Version is the version up to which these are all documents that define the
 	// configuration; the zero Version if it is not known.
 	Version api.Version
+	// NotBefore is from when on the instance may serve by these documents; zero if at
+	// once. Documents of a peer that come earlier end the wait.
+	NotBefore time.Time
 }
 
 // ConfigurationAnnounced reports the newest version of a peer's documents of the
--- /dev/null
+++ b/internal/state/view/superseded.go
@@ -0,0 +1,106 @@
+package view
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+)
+
+// SupersededReason states why a document that the store states is not in force.
+type SupersededReason string
+
+// The reasons why a document is superseded.
+const (
+	// SupersededByRestore is the reason if the store was restored from a copy of before
+	// the document in force.
+	SupersededByRestore SupersededReason = "the store was restored from a copy that is older than the document in force"
+	// SupersededByNumber is the reason if a document with a lower number was written
+	// after the one in force.
+	SupersededByNumber SupersededReason = "it was written after the document in force, with a lower number or none"
+)
+
+// SupersededKey describes a key whose document in the store is older than the one in
+// force.
+type SupersededKey struct {
+	Key string `json:"key"`
+	// StatedNumber, StatedEra and StatedRevision are those of the document in the store.
+	StatedNumber   api.Number `json:"statedNumber"`
+	StatedEra      uint64     `json:"statedEra,omitempty"`
+	StatedRevision uint64     `json:"statedRevision"`
+	// NumberInForce, EraInForce and RevisionInForce are those of the document in force.
+	NumberInForce   api.Number `json:"numberInForce"`
+	EraInForce      uint64     `json:"eraInForce,omitempty"`
+	RevisionInForce uint64     `json:"revisionInForce"`
+	// IsRemoved is set if the document in force is a removal.
+	IsRemoved bool `json:"removed,omitempty"`
+	// IsConfiguration is set if the key defines what requests are sent where.
+	IsConfiguration bool             `json:"configuration"`
+	Reason          SupersededReason `json:"reason"`
+	// Since is when the instance learned of the document in the store.
+	Since time.Time `json:"since"`
+}
+
+// Remedy returns what an operator can do about the difference.
+func (supersededkey SupersededKey) Remedy() string {
+	if !supersededkey.IsConfiguration {
+		return "none is needed: the replica writes its entry again, or the entry is removed"
+	}
+	return fmt.Sprintf("write a version above %d", supersededkey.NumberInForce.Sequence)
+}
+
+// SupersededConfigurations returns the superseded keys that define what requests are sent
+// where.
+func (view *View) SupersededConfigurations() []SupersededKey {
+	var configurations []SupersededKey
+	for _, supersededkey := range view.SupersededKeys {
+		if supersededkey.IsConfiguration {
+			configurations = append(configurations, supersededkey)
+		}
+	}
+	return configurations
+}
+
+// HeldVersions are the versions of the documents of one key that an instance holds.
+type HeldVersions struct {
+	InForce api.Precedence
+	// Superseded and Refused are the zero Version if there is no such document.
+	Superseded, Refused api.Version
+}
+
+// HeldVersions returns the versions of key that the instance holds.
+func (view *View) HeldVersions(key string) HeldVersions {
+	return HeldVersions{
+		InForce:    view.DocumentsInForce[key].Precedence(),
+		Superseded: view.SupersededDocuments[key].Version(),
+		Refused:    view.RefusedDocuments[key].Version(),
+	}
+}
+
+// Stated returns the latest version that the store is known to have stated.
+func (heldversions HeldVersions) Stated() api.Version {
+	return api.Latest(heldversions.InForce.Stored, heldversions.Superseded, heldversions.Refused)
+}
+
+// Lacks reports whether a holder of these versions lacks the announced document: because
+// it is newer than the one in force, or because the store stated it later than all that
+// the holder knows of the key.
+func (heldversions HeldVersions) Lacks(announced api.KeyRevision) bool {
+	return announced.Precedence().After(heldversions.InForce) || announced.Version().After(heldversions.Stated())
+}
+
+// DocumentsLacked returns the documents of key that a holder of the given versions lacks:
+// the one in force, the superseded one and the refused one, in this order.
+func (view *View) DocumentsLacked(key string, held HeldVersions) []api.Document {
+	var lacked []api.Document
+	if document, isKnown := view.DocumentsInForce[key]; isKnown && document.Precedence().After(held.InForce) {
+		lacked = append(lacked, document)
+	}
+	if document, isKnown := view.SupersededDocuments[key]; isKnown && document.Version().After(api.Latest(held.InForce.Stored, held.Superseded)) {
+		lacked = append(lacked, document)
+	}
+	if document, isKnown := view.RefusedDocuments[key]; isKnown && document.Version().After(held.Refused) {
+		lacked = append(lacked, document)
+	}
+	return lacked
+}
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -39,6 +39,10 @@
 	// received, by key.
 	DocumentsInForce map[string]api.Document
 	RefusedDocuments map[string]api.Document
+	// SupersededDocuments holds, by key, what the store states although a document with
+	// a higher number is in force, and SupersededKeys describes them, sorted by key.
+	SupersededDocuments map[string]api.Document
+	SupersededKeys      []SupersededKey
 	// Neighbours names the members that this instance probes.
 	Neighbours []string
 	// GossipNeighbours names the members that this instance sends changes to.
@@ -223,8 +227,6 @@
 	Reason string `json:"reason,omitempty"`
 }
 
-// KnownVersion returns the newest version of key that the instance received, in force
-// or refused, or the zero Version.
-func (view *View) KnownVersion(key string) api.Version {
-	return api.Latest(view.DocumentsInForce[key].Version(), view.RefusedDocuments[key].Version())
-}
+// KnownVersion returns the latest version of key that the store stated and that the
+// instance received, or the zero Version.
+func (view *View) KnownVersion(key string) api.Version { return view.HeldVersions(key).Stated() }
