command/peer, command/platform: restarted seeds learn of the instances that stayed up

An instance that reaches a neighbour only on a new connection syncs with it, so that the neighbour knows it; one that is not configured syncs in turn with a peer that holds documents; and it waits for peers for up to 2 s if the store states an era. Ruled out: a longer wait alone, which each start without peers would pay for.

--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -183,10 +183,15 @@
 
 // answerSync sends the requesting peer to control as a member. It returns all
 // members, leaving replicas and stopped homes, and the documents that the peer
-// lacks.
+// lacks. An instance that is not configured syncs with the peer in turn.
 func (peers *Peers) answerSync(ctx context.Context, request api.SyncRequest) api.PeerReply {
 	_ = peers.mailbox.Send(ctx, message.GossipReceived{Gossip: api.Gossip{Members: []api.Member{request.From}}})
 	current := peers.currentView.Load()
+	if !current.IsConfigured && len(request.RevisionsInForce) > 0 {
+		// This instance has just started, and the peer may be the only one that knows
+		// the newest configuration.
+		peers.startSync(request.From.Instance.PeerAddress)
+	}
 	held := heldVersions(request)
 	now := time.Now()
 	reply := &api.SyncReply{
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -163,14 +163,18 @@
 }
 
 // callOnNewConnection calls the neighbour on a new connection, since the old one
-// may be broken, and reports whether it answered.
+// may be broken, and reports whether it answered. If the old one broke because the
+// neighbour was started again, it learns from a sync that this instance exists.
 func (probe *probe) callOnNewConnection() bool {
 	peers := probe.peers
 	peers.endpoint.Reset(probe.member.Instance.PeerAddress)
 	ctx, cancel := context.WithTimeout(peers.ctx, peers.settings.ProbeTimeout.Duration)
 	defer cancel()
-	_, err := peers.endpoint.Call(ctx, probe.member.Instance.PeerAddress, api.PeerRequest{IsPing: true})
-	return err == nil
+	if _, err := peers.endpoint.Call(ctx, probe.member.Instance.PeerAddress, api.PeerRequest{IsPing: true}); err != nil {
+		return false
+	}
+	peers.startSync(probe.member.Instance.PeerAddress)
+	return true
 }
 
 // probeIndirectly asks other neighbours to call the member that did not answer, and
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -32,9 +32,9 @@
 	// instance.
 	peerPollInterval = 5 * time.Millisecond
 	// restoredPeerWait is how long after its start an instance waits for a peer before it
-	// serves by the listing of a store that states an era. It allows for several attempts
-	// to reach a peer.
-	restoredPeerWait = time.Second
+	// serves by the listing of a store that states an era. If all seeds were started
+	// again, the other instances find them with their probes.
+	restoredPeerWait = 2 * time.Second
 	minBackoff       = 100 * time.Millisecond
 	maxBackoff       = time.Second
 )
