schedule/caller, query/upstream: queries wait for memory, and replies are part of the grant

Callers of a query over 20 sound shards, 300 of them at one instance of 284 MB, got fewer answers than before running queries were accounted for, and 502.

Ruled out: grants too large; 204 more queries take 0.4 MB each, which is what they are granted. - 502. What replicas send beyond 2 KB has a part of its own.

A query waits for running ones to end now, in the order of arrival, for at most a quarter of the time to its target or a third of that to its deadline, and is refused at once if the queue is known to be longer. It is granted only if the answers of all running queries, by a moving estimate of their size, fit. Work for few shards passes those that wait, and an eighth is left for it. No bound of memory is higher than before.

TestWorkOfCrowds plays the crowds without a network; its cases "queries that end soon" and "answers that are large" fail without the wait and the estimate.

--- a/internal/process/instance/callerlimits.go
+++ b/internal/process/instance/callerlimits.go
@@ -40,6 +40,9 @@
 	// connections.
 	fanoutShare  = 0.45
 	repliesShare = 0.15
+	// expectedShare is the part of the memory for replicas' answers that those to running
+	// queries may be expected to take. The rest is for answers that are larger than usual.
+	expectedShare = 0.75
 	// peerMemoryShare is the part of the memory of the process that may be held for what
 	// peers send, and minPeerMemory the least.
 	peerMemoryShare = 0.1
@@ -75,6 +78,8 @@
 		limits.Parts = map[caller.Part]caller.PartLimits{
 			caller.PartFanout:  {MaxBytes: int64(fanoutShare * float64(limits.TotalBytes))},
 			caller.PartReplies: {MaxBytes: int64(repliesShare * float64(limits.TotalBytes)), IsShared: true},
+
+			caller.PartExpected: {MaxBytes: int64(expectedShare * repliesShare * float64(limits.TotalBytes))},
 		}
 	}
 	maxConnections := settings.Callers.MaxConnections
--- a/internal/query/upstream/pass.go
+++ b/internal/query/upstream/pass.go
@@ -93,12 +93,29 @@
 	homeQueryBytes  = 16 << 10
 )
 
+// A query may wait for memory for one in targetWaitDivisor of the time to its target time,
+// or, without one, for one in deadlineWaitDivisor of the time to its deadline. The rest is
+// for the query itself.
+const (
+	targetWaitDivisor   = 4
+	deadlineWaitDivisor = 3
+)
+
+// memoryWait returns how long the query may wait for memory.
+func (pass *pass[C, H, L, P]) memoryWait() time.Duration {
+	if target := pass.request.TargetTime; !target.IsZero() {
+		return time.Until(target) / targetWaitDivisor
+	}
+	return time.Until(pass.request.Deadline) / deadlineWaitDivisor
+}
+
 // start starts querying all shards: those placed on this instance at their
 // replicas, the others at their homes. It starts nothing and reports false if there is
-// no memory for it.
-func (pass *pass[C, H, L, P]) start(ctx context.Context) bool {
+// no memory for it within memoryWait.
+func (pass *pass[C, H, L, P]) start(ctx context.Context, memoryWait time.Duration) bool {
 	localShards, groups := pass.fanout.Placement.Place(&pass.request)
-	if !caller.AccountFrom(ctx).Hold(caller.PartFanout, int64(len(localShards)*shardQueryBytes+len(groups)*homeQueryBytes)) {
+	fanoutBytes := int64(len(localShards)*shardQueryBytes + len(groups)*homeQueryBytes)
+	if !caller.AccountFrom(ctx).Begin(ctx, fanoutBytes, len(localShards), memoryWait) {
 		pass.fanout.Metrics.Add("queries.refusedForMemory", 1)
 		pass.request.Trace.Add(trace.RequestRefused, "", "", reasonNoMemory)
 		return false
@@ -145,7 +162,7 @@
 func (pass *pass[C, H, L, P]) run(ctx context.Context) (api.Answer, newerVersion) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(api.ErrAnswered)
-	if !pass.start(ctx) {
+	if !pass.start(ctx, pass.memoryWait()) {
 		return pass.refuse(), newerVersion{}
 	}
 	collector := NewCollector(pass.partSpec)
--- a/internal/query/upstream/peerquery.go
+++ b/internal/query/upstream/peerquery.go
@@ -40,7 +40,8 @@
 	peerquery := &peerQuery[C, H, L, P]{pass: fanout.newPass(request, snapshot), send: send, unsentMissing: unknownShards, unsettledCount: len(request.Selection.Shards)}
 	// Attempts that still wait are not sent after the last partial answer.
 	defer peerquery.pass.possibleRuns.Close()
-	if !peerquery.pass.start(ctx) {
+	// The peer passes over a home that is silent for longer.
+	if !peerquery.pass.start(ctx, min(peerquery.pass.memoryWait(), untargetedHomeTimeout/2)) {
 		peerquery.refuse()
 	}
 	if err := peerquery.run(ctx); err != nil {
--- a/internal/schedule/caller/guard.go
+++ b/internal/schedule/caller/guard.go
@@ -28,6 +28,8 @@
 	now     func() time.Duration
 	metrics *metrics.Metrics
 	logger  *zap.Logger
+	// replySize is what an answer of a replica usually takes.
+	replySize replySize
 
 	// mutex guards the fields below.
 	mutex  sync.Mutex
@@ -35,6 +37,11 @@
 	// changed is closed when what waits for evicted connections has to look again. It is
 	// nil if nothing waits.
 	changed chan struct{}
+	// waiting holds the work of queries that wait for running ones to end, in the order
+	// of arrival.
+	waiting []*queuedWork
+	// workTime is how long a query usually runs.
+	workTime time.Duration
 	// lastLog is when a line was last logged. Counts since then are in the two maps: the
 	// evicted connections by their phase, the refusals by their reason.
 	lastLog time.Duration
@@ -68,6 +75,7 @@
 		evicted: make(map[string]int),
 		refused: make(map[string]int),
 	}
+	guard.replySize.bytes.Store(initialReplyBytes)
 	metrics.Vars.Set(name+".held", expvar.Func(guard.usage))
 	return guard
 }
@@ -126,13 +134,15 @@
 // Close removes a holder.
 func (guard *Guard) Close(holder *Holder[Evictable]) {
 	guard.mutex.Lock()
-	defer guard.mutex.Unlock()
 	// An evicted holder has been woken up already.
 	isWaiting := !holder.isEvicted
 	guard.memory.Close(holder)
+	evicted := guard.grantWaiting()
 	if isWaiting || !guard.memory.IsClosingFull() {
 		guard.signal()
 	}
+	guard.mutex.Unlock()
+	evictAll(evicted)
 }
 
 // awaitClosing waits while isDelayed returns true, until canceled is closed, but no longer
--- a/internal/schedule/caller/replyaccount.go
+++ b/internal/schedule/caller/replyaccount.go
@@ -43,6 +43,9 @@
 		replyaccount.Release()
 		return
 	}
+	if replyaccount.Guard != nil {
+		replyaccount.Guard.replySize.observe(replyaccount.held)
+	}
 	if replyaccount.held > 0 {
 		requestaccount.Adopt(PartReplies, replyaccount.held)
 	}
--- a/internal/schedule/caller/requestaccount.go
+++ b/internal/schedule/caller/requestaccount.go
@@ -17,6 +17,9 @@
 	PartFanout Part = "fanout"
 	// PartReplies is what replicas send in answers that are larger than usual.
 	PartReplies Part = "replies"
+	// PartExpected is what the answers to running queries are expected to take of
+	// PartReplies. It bounds how many queries run, and is itself no memory.
+	PartExpected Part = "expectedReplies"
 )
 
 // PartLimits bounds one part.
@@ -59,7 +62,9 @@
 // ReleasePart removes bytes that HoldPart has granted.
 func (memory *Memory[C]) ReleasePart(part Part, bytes int64) {
 	memory.PartBytes[part] -= bytes
-	memory.HeldBytes -= bytes
+	if part != PartExpected {
+		memory.HeldBytes -= bytes
+	}
 }
 
 // Hold adds bytes to a holder that has held bytes of a part, and reports whether they may
@@ -83,9 +88,11 @@
 		return
 	}
 	guard.mutex.Lock()
-	defer guard.mutex.Unlock()
 	guard.memory.ReleasePart(part, bytes)
+	evicted := guard.grantWaiting()
 	guard.signal()
+	guard.mutex.Unlock()
+	evictAll(evicted)
 }
 
 // RequestAccount is what an instance holds for one request while it runs. Its methods may
@@ -96,6 +103,9 @@
 	// mutex guards the fields below.
 	mutex sync.Mutex
 	held  map[Part]int64
+	// beganAt is when the query of the request began to run, if hasBegun is set.
+	beganAt  time.Duration
+	hasBegun bool
 	// isClosed is set when the request has been answered.
 	isClosed bool
 }
@@ -140,6 +150,9 @@
 	requestaccount.mutex.Lock()
 	defer requestaccount.mutex.Unlock()
 	requestaccount.isClosed = true
+	if requestaccount.hasBegun {
+		requestaccount.guard.endWork(requestaccount.beganAt)
+	}
 	for part, bytes := range requestaccount.held {
 		requestaccount.guard.Release(part, bytes)
 	}
