query/operator: explain covers scopes that pass requests to one upstream

explain answered "a kind of the scope" for every relayed scope, so that on the users' platform it could not show that a configuration is superseded.

--- a/internal/query/operator/operator.go
+++ b/internal/query/operator/operator.go
@@ -270,7 +270,7 @@
 	if !isKnown {
 		return Explanation{}, &api.InvalidError{Field: "scope", Value: scopeName, Allowed: "a configured scope"}
 	}
-	selection, isKnown := scope.Selections[kind]
+	selection, isKnown := selectionOf(scope, kind)
 	if !isKnown {
 		return Explanation{}, &api.InvalidError{Field: "kind", Value: kind, Allowed: "a kind of the scope"}
 	}
@@ -295,6 +295,21 @@
 	return explanation, nil
 }
 
+// selectionOf returns what a request kind of a scope covers. A scope whose requests are
+// passed to one upstream covers those of its split.
+func selectionOf(scope view.Scope, kind string) (view.Selection, bool) {
+	if scope.Scope.Form != api.FormRelayed {
+		selection, isKnown := scope.Selections[kind]
+		return selection, isKnown
+	}
+	selection := view.Selection{Kind: kind, IsCommand: scope.Scope.IsCommand}
+	for _, weightedupstream := range scope.WeightedUpstreams {
+		selection.Shards = append(selection.Shards, weightedupstream.Shard)
+	}
+	isKnown := slices.ContainsFunc(scope.Scope.Routes, func(route api.Route) bool { return route.Kind == kind })
+	return selection, isKnown
+}
+
 func explainShard(shard view.Shard, heldBack map[string]bool) ShardExplanation {
 	explanation := ShardExplanation{Name: shard.Name, Epoch: shard.Epoch, Upstream: shard.Upstream.Name, Replicas: []string{}}
 	for _, replica := range shard.Replicas {
--- a/internal/query/operator/operator_test.go
+++ b/internal/query/operator/operator_test.go
@@ -83,3 +83,18 @@
 	assert.Equal(t, len(explanation.Superseded), 1)
 	assert.Equal(t, explanation.Superseded[0].SupersededKey, configuration)
 }
+
+// TestExplainRelayed checks that the upstreams of a scope that passes requests on are
+// explained.
+func TestExplainRelayed(t *testing.T) {
+	scope := view.Scope{
+		Scope:             api.Scope{Form: api.FormRelayed, Routes: []api.Route{{Kind: "all"}}},
+		WeightedUpstreams: []view.WeightedUpstream{{Weight: 1, Shard: view.Shard{Name: "desk"}}},
+	}
+	current := &view.View{Scopes: map[string]view.Scope{"lookup": scope}}
+	explanation, err := Explain(current, "lookup", "all")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, explanation.Shards, []ShardExplanation{{Name: "desk", Replicas: []string{}}})
+	_, err = Explain(current, "lookup", "other")
+	assert.ErrorContains(t, err, "kind")
+}
