command/control, schedule/caller: refused entries of removed processes, large answers beside small work

And a query whose answers are expected to take more than the part for them could not begin while requests to single shards ran: these are no longer counted as expecting any.

--- a/internal/command/control/era_test.go
+++ b/internal/command/control/era_test.go
@@ -282,15 +282,19 @@
 // drawDocumentOfEra returns a document whose content and kind depend only on its key
 // and version, as a store hands it out.
 func drawDocumentOfEra(t *rapid.T) message.DocumentReceived {
-	key := rapid.SampledFrom([]string{"config", "key"}).Draw(t, "key")
+	key := rapid.SampledFrom([]string{"config", "key", "replica"}).Draw(t, "key")
 	era, revision := rapid.Uint64Range(0, 3).Draw(t, "era"), rapid.Uint64Range(1, 9).Draw(t, "revision")
 	decoded := written(key, era, revision, fmt.Sprint(revision/2))
 	kind := (era*7 + revision*3) % 5
 	if key == "config" {
 		decoded.Document.Number.Sequence = 1 + (era+revision)%4
 	}
+	if key == "replica" {
+		decoded = numberedEntry(era, revision, 1+revision%2, 1+(era+revision)%4)
+	}
 	if kind == 0 {
-		decoded.Document.IsDeleted, decoded.Document.Value, decoded.Document.Number = true, nil, api.Number{}
+		decoded = written(key, era, revision, "")
+		decoded.Document.IsDeleted, decoded.Document.Value = true, nil
 	}
 	if kind == 1 {
 		decoded.RefusalReason = "broken"
--- a/internal/command/control/removal.go
+++ b/internal/command/control/removal.go
@@ -38,6 +38,7 @@
 // drops it. The parameter known is the document in force, or the one that a peer has.
 func receiveRemoval(state *State, known, deletion api.DecodedDocument, isInferred bool, now time.Time) Effects {
 	rule := decideRemoval(state, known, deletion, isInferred, now)
+	// The removal is newer than both, also for instances that do not know them.
 	deletion = followingRemoval(deletion, known.Document.Number)
 	deletion = followingRemoval(deletion, state.DocumentsInForce[deletion.Document.Key].Document.Number)
 	var effects Effects
@@ -115,8 +116,8 @@
 }
 
 // isUnlisted reports whether a document that a peer sent is missing from the latest
-// listing of all documents, though it is older: the store has removed it. The removal is
-// not among the changes since the listing.
+// listing of all documents, though the store stated it earlier: the store has removed it.
+// The removal is not among the changes since the listing.
 func isUnlisted(state *State, document api.Document) bool {
 	key := document.Key
 	isNewer := document.Precedence().After(state.DocumentsInForce[key].Document.Precedence()) &&
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -195,16 +195,16 @@
 
 		DocumentsInForce: make(map[string]api.DecodedDocument),
 		RefusedDocuments: make(map[string]api.DecodedDocument),
+		Members:          map[string]Member{self.Instance.Name: {Member: self, LearnedAt: now}},
+		PendingDocuments: make(map[string]PendingDocument),
 
 		SupersededDocuments: make(map[string]SupersededDocument),
 
-		Members:          map[string]Member{self.Instance.Name: {Member: self, LearnedAt: now}},
-		PendingDocuments: make(map[string]PendingDocument),
-		RemovalCounts:    make(map[view.RemovalRule]int64),
-		LeavingReplicas:  make(map[api.LeavingReplica]time.Time),
-		StoppedHomes:     make(map[api.StoppedHome]time.Time),
-		SnapshotReports:  make(map[string]message.ReplicaSnapshotsReported),
-		Replicas:         make(map[string]*view.Replica),
+		RemovalCounts:   make(map[view.RemovalRule]int64),
+		LeavingReplicas: make(map[api.LeavingReplica]time.Time),
+		StoppedHomes:    make(map[api.StoppedHome]time.Time),
+		SnapshotReports: make(map[string]message.ReplicaSnapshotsReported),
+		Replicas:        make(map[string]*view.Replica),
 	}
 }
 
--- a/internal/command/control/superseded.go
+++ b/internal/command/control/superseded.go
@@ -50,7 +50,8 @@
 }
 
 // supersede records that the store states decoded, which is older than the document in
-// force, after all valid documents known of its key. A removal removes all that was written before it, whatever its number.
+// force, after all valid documents known of its key. A removal removes all that was written
+// before it, whatever its number.
 func supersede(state *State, decoded api.DecodedDocument, now time.Time) Effects {
 	document := decoded.Document
 	if document.IsDeleted {
@@ -91,7 +92,8 @@
 // an earlier era with the same number. A process that lives has written a higher one.
 func isRemovedProcess(inForce, decoded api.DecodedDocument) bool {
 	document := decoded.Document
-	return decoded.Instances != nil && inForce.Document.IsDeleted && !document.Number.IsZero() &&
+	isEntry := decoded.Instances != nil && decoded.RefusalReason == ""
+	return isEntry && inForce.Document.IsDeleted && !document.Number.IsZero() &&
 		document.Number == inForce.Document.Number && document.Era > inForce.Document.Era
 }
 
--- a/internal/schedule/caller/work.go
+++ b/internal/schedule/caller/work.go
@@ -16,9 +16,9 @@
 }
 
 // Work is small if it needs at most one in smallWorkDivisor of PartFanout. One in
-// smallReserveDivisor of PartFanout is left for small work, which may run whatever its
-// answers are expected to take, so that a crowd of queries of many shards does not delay
-// requests to one of them.
+// smallReserveDivisor of PartFanout is left for small work, whose answers are not expected
+// to take anything, so that a crowd of queries of many shards does not delay requests to one
+// of them.
 const (
 	smallWorkDivisor    = 256
 	smallReserveDivisor = 8
@@ -31,7 +31,7 @@
 
 // HoldWork adds the work of one query, all of it or nothing. It reports whether the query
 // may run, and returns the holders of connections that the caller of HoldWork must close.
-// While nothing runs, a query may run whatever its answers are expected to take.
+// While no other query is expected to take any, its answers may take any memory.
 func (memory *Memory[C]) HoldWork(work Work, now time.Duration) (bool, []*Holder[C]) {
 	isSmall := memory.IsSmallWork(work)
 	if !isSmall && !(memory.hasLargeRoom(PartFanout, work.FanoutBytes) && memory.hasLargeRoom(PartExpected, work.ReplyBytes)) {
@@ -137,7 +137,10 @@
 // holdWork holds work, and returns the connections that the caller must close once it has
 // released the mutex, which it holds.
 func (guard *Guard) holdWork(work *queuedWork) (bool, []*Holder[Evictable]) {
-	work.held = Work{FanoutBytes: work.fanoutBytes, ReplyBytes: int64(work.shardCount) * guard.replySize.get()}
+	work.held = Work{FanoutBytes: work.fanoutBytes}
+	if !guard.memory.IsSmallWork(work.held) {
+		work.held.ReplyBytes = int64(work.shardCount) * guard.replySize.get()
+	}
 	isGranted, evicted := guard.memory.HoldWork(work.held, guard.now())
 	guard.report(evicted, true, "")
 	guard.signalEvicted(evicted)
