--- a/internal/command/control/superseded.go
+++ b/internal/command/control/superseded.go
@@ -44,7 +44,9 @@
 		effects.Superseded = append(effects.Superseded, document.Key)
 	case wasSuperseded:
 		delete(state.SupersededDocuments, document.Key)
-		effects.Restated = append(effects.Restated, document.Key)
+		if !document.IsDeleted {
+			effects.Restated = append(effects.Restated, document.Key)
+		}
 	}
 	return effects
 }
