--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -98,7 +98,7 @@
 		refusedDocuments: documentsByKey(state.RefusedDocuments),
 
 		supersededDocuments: supersededDocuments(state),
-		supersededKeys:      supersededKeys(state),
+		supersededKeys:      describedKeys(state),
 
 		indexes:          indexes,
 		scopes:           scopes,
--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -162,6 +162,7 @@
 		control.logger.Info("documents held back until their keys are written again", zap.Int("count", effects.HeldBackCount), zap.Uint64("era", control.state.Era))
 	}
 	control.logRemovals(effects.Removals)
+	control.logLost(effects.Removals)
 	control.logSuperseded(effects)
 	if effects.hasGossip() {
 		control.logChanges(effects.Gossip)
@@ -243,6 +244,20 @@
 	}
 }
 
+// logLost logs the documents that stay in force although the store lacks them, and what an
+// operator can do about it.
+func (control *Control) logLost(removals []Removal) {
+	for _, removal := range removals {
+		if removal.Rule != view.RemovalLost {
+			continue
+		}
+		inForce := control.state.DocumentsInForce[removal.Document.Key].Document
+		described := view.SupersededKey{NumberInForce: inForce.Number, IsConfiguration: true}
+		control.logger.Warn("store lacks a document in force", zap.String("key", inForce.Key), zap.Uint64("numberInForce", inForce.Number.Sequence),
+			zap.Uint64("eraInForce", inForce.Era), zap.Uint64("revisionInForce", inForce.Revision), zap.String("reason", string(view.SupersededByLoss)), zap.String("remedy", described.Remedy()))
+	}
+}
+
 // logSuperseded logs of which keys the store states an older document than the one in
 // force, why and what an operator can do about it, and of which it no longer does.
 func (control *Control) logSuperseded(effects Effects) {
--- a/internal/command/control/documentorders_test.go
+++ b/internal/command/control/documentorders_test.go
@@ -55,6 +55,9 @@
 // send sends one instance what it lacks of what the other has.
 func (orderfleet *orderFleet) send(from, to string) {
 	sender, receiver := control.Build(orderfleet.states[from], control.RebuildAll), control.Build(orderfleet.states[to], control.RebuildAll)
+	if sender.Era > receiver.Era {
+		orderfleet.apply(to, message.PlatformAnswered{Era: sender.Era})
+	}
 	if sender.ConfigurationVersion.After(receiver.CoveredVersion) {
 		orderfleet.apply(to, message.ConfigurationAnnounced{Version: sender.ConfigurationVersion})
 	}
@@ -164,8 +167,10 @@
 	// wantRemoved is set if the key must be removed in the end.
 	wantRemoved bool
 	// wantStated is the sequence number that is reported as stated by the store; 0 if
-	// the store states what is in force.
+	// the store states what is in force or lacks it.
 	wantStated uint64
+	// wantLost is set if the store is reported to lack the key.
+	wantLost bool
 }
 
 // documentOrders returns the orders of docs/design/store-era.md. The store is restored
@@ -186,12 +191,15 @@
 	order := func(key string, before, want api.Document, wantStated uint64, steps ...orderStep) documentOrder {
 		return documentOrder{key: key, before: []api.Document{before}, want: want, wantStated: wantStated, steps: steps}
 	}
+	lost := func(key string, before api.Document, steps ...orderStep) documentOrder {
+		return documentOrder{key: key, before: []api.Document{before}, want: before, wantLost: true, steps: steps}
+	}
 	removed := func(key string, before api.Document, wantStated uint64, steps ...orderStep) documentOrder {
 		return documentOrder{key: key, before: []api.Document{before}, wantRemoved: true, wantStated: wantStated, steps: steps}
 	}
 	return map[string]documentOrder{
 		"the copy is older, never written again":   order("config", newer, newer, 7, stepList("a", 2, 850, older), stepWait(late)),
-		"the copy lacks it, never written again":   order("config", newer, newer, 0, stepList("a", 2, 850), stepWait(late)),
+		"the copy lacks it, never written again":   lost("config", newer, stepList("a", 2, 850), stepWait(late)),
 		"the copy is older, written again soon":    order("config", newer, newer, 0, stepList("a", 2, 850, older), stepWait(soon), stepRead("a", config(2, 860, 9, "moved")), stepWait(late)),
 		"the copy is older, written again late":    order("config", newer, newer, 0, stepList("a", 2, 850, older), stepWait(late), stepRead("a", config(2, 860, 9, "moved")), stepWait(late)),
 		"the copy lacks it, written again late":    order("config", newer, newer, 0, stepList("a", 2, 850), stepWait(late), stepRead("a", config(2, 860, 9, "moved")), stepWait(late)),
@@ -202,10 +210,10 @@
 		"another content below the known revision": order("config", newer, config(0, 0, 9, "other"), 0, stepList("a", 2, 890, config(2, 880, 9, "other")), stepWait(late)),
 		"restored twice, never written again":      order("config", newer, newer, 6, stepList("a", 2, 850, older), stepWait(soon), stepList("a", 3, 840, config(3, 840, 6, "first")), stepWait(late)),
 		"restored twice, written again in between": order("config", newer, newer, 7, stepList("a", 2, 850, older), stepRead("a", config(2, 860, 9, "moved")), stepWait(soon), stepList("a", 3, 840, config(3, 840, 7, "unmoved")), stepWait(late)),
-		"restored twice, then lacking":             order("config", newer, newer, 7, stepList("a", 2, 850, older), stepWait(soon), stepList("a", 3, 840), stepWait(late)),
+		"restored twice, then lacking":             lost("config", newer, stepList("a", 2, 850, older), stepWait(soon), stepList("a", 3, 840), stepWait(late)),
 		"a reader restarts, the listing first":     order("config", newer, newer, 7, stepList("a", 2, 850, older), stepWait(late), stepRestart("a"), stepList("a", 2, 850, older), stepWait(late)),
 		"a reader restarts, peers first":           order("config", newer, newer, 7, stepList("a", 2, 850, older), stepWait(late), stepRestart("a"), stepWait(soon), stepList("a", 2, 850, older), stepWait(late)),
-		"a reader restarts, the copy lacks it":     order("config", newer, newer, 0, stepList("a", 2, 850), stepWait(late), stepRestart("a"), stepList("a", 2, 850), stepWait(late)),
+		"a reader restarts, the copy lacks it":     lost("config", newer, stepList("a", 2, 850), stepWait(late), stepRestart("a"), stepList("a", 2, 850), stepWait(late)),
 		"a reader restarts before it is read":      order("config", newer, newer, 7, stepRestart("a"), stepList("a", 2, 850, older), stepWait(late)),
 		"another instance restarts":                order("config", newer, newer, 7, stepList("a", 2, 850, older), stepWait(late), stepRestart("c"), stepWait(late)),
 		"a domain restarts":                        order("config", newer, newer, 7, stepList("a", 2, 850, older), stepWait(late), stepRestart("a", "b"), stepList("b", 2, 850, older), stepWait(late)),
@@ -229,7 +237,7 @@
 		"withdrawn where only the copy is known":     removed("config", newer, 0, stepCut("c"), stepRestart("a", "b"), stepList("a", 2, 850, older), stepWait(late), stepRead("a", orderRemoval("config", 2, 860)), stepWait(late), stepCut(), stepWait(late)),
 		"withdrawn, then a lower version":            removed("config", newer, 8, stepRead("a", orderRemoval("config", 1, 910), config(1, 911, 8, "lower")), stepWait(late)),
 		"withdrawn, then a higher version":           order("config", newer, config(0, 0, 10, "split"), 0, stepRead("a", orderRemoval("config", 1, 910), config(1, 911, 10, "split")), stepWait(late)),
-		"an evacuation that the store lost":          order("evacuation", evacuation(1, 900), evacuation(0, 0), 0, stepList("a", 2, 850), stepWait(late), stepRestart("a"), stepList("a", 2, 850), stepWait(late)),
+		"an evacuation that the store lost":          lost("evacuation", evacuation(1, 900), stepList("a", 2, 850), stepWait(late), stepRestart("a"), stepList("a", 2, 850), stepWait(late)),
 		"an evacuation, lost, written and withdrawn": removed("evacuation", evacuation(1, 900), 0, stepList("a", 2, 850), stepWait(late), stepRead("a", evacuation(2, 860), orderRemoval("evacuation", 2, 861)), stepWait(late)),
 
 		"an older entry, within the time":             order("replica", live, live, 19, stepList("a", 2, 850, outdated), stepWait(soon)),
@@ -288,9 +296,12 @@
 		assert.Equal(t, current.ConfigDigest, views["a"].ConfigDigest, "%s", name)
 		assert.Assert(t, current.ConfigurationLackedSince.IsZero(), "%s still looks for a configuration", name)
 		var stated uint64
+		isLost := false
 		for _, supersededkey := range current.SupersededKeys {
 			stated = supersededkey.StatedNumber.Sequence
+			isLost = supersededkey.Reason == view.SupersededByLoss
 		}
 		assert.Equal(t, stated, order.wantStated, "%s", name)
+		assert.Equal(t, isLost, order.wantLost, "%s", name)
 	}
 }
--- a/internal/command/control/pending.go
+++ b/internal/command/control/pending.go
@@ -55,8 +55,8 @@
 	if state.Era > 0 || !state.PlatformAnsweredAt.IsZero() {
 		state.PlatformReturnedAt = now
 	}
-	state.Era = era
-	return Effects{PublishStats: true, IsEraRaised: true}
+	state.Era, state.eraLearnedAt, state.isEraSettled = era, now, false
+	return Effects{RebuildConfiguration: true, IsEraRaised: true}
 }
 
 // isConfiguration reports whether a document defines what requests are sent where, as
--- a/internal/command/control/removal.go
+++ b/internal/command/control/removal.go
@@ -90,6 +90,7 @@
 	if !received.Version.After(state.ListedVersion) {
 		return effects
 	}
+	effects.RebuildConfiguration = effects.RebuildConfiguration || received.Version.Era > state.ListedVersion.Era
 	state.ListedVersion = received.Version
 	for key, decoded := range statedDocuments(state) {
 		isRemoved := decoded.Document.IsDeleted || received.Keys[key]
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -105,6 +105,10 @@
 	StaleAnswers int64
 	// Era is the highest known era of the platform's store.
 	Era uint64
+	// eraLearnedAt is when this instance learned of Era, and isEraSettled is set once it
+	// can be expected to know what the store states in it.
+	eraLearnedAt time.Time
+	isEraSettled bool
 	// ConfigurationVersion is the newest version of the documents that define what
 	// requests are sent where, and CoveredVersion that up to which the instance has them
 	// all. It is higher if no such document changed before a listing.
@@ -391,6 +395,7 @@
 	}
 	effects := settleInTime(state, now)
 	effects.merge(configureInTime(state, now))
+	effects.merge(settleEra(state, now))
 	effects.merge(failExpiredSuspects(state, now))
 	effects.merge(applyDueDocuments(state, now))
 	effects.merge(applyObservedLeaving(state, now))
--- a/internal/command/control/superseded.go
+++ b/internal/command/control/superseded.go
@@ -149,3 +149,49 @@
 	}
 	return described
 }
+
+// lostKeys describes, sorted by key, the documents of the configuration that the store has
+// not stated in its current era: it may have lost them.
+func lostKeys(state *State) []view.SupersededKey {
+	var keys []view.SupersededKey
+	forEachDocument(state, func(decoded api.DecodedDocument) {
+		document := decoded.Document
+		if !definesConfiguration(decoded) || statedVersion(state, document.Key).Era >= state.Era {
+			return
+		}
+		keys = append(keys, view.SupersededKey{
+			Key:             document.Key,
+			NumberInForce:   document.Number,
+			EraInForce:      document.Era,
+			RevisionInForce: document.Revision,
+			IsConfiguration: true,
+			Reason:          view.SupersededByLoss,
+			Since:           state.eraLearnedAt,
+		})
+	})
+	return keys
+}
+
+// describedKeys returns the superseded keys and, once the instance can be expected to know
+// what the store states in its current era, the lost ones.
+func describedKeys(state *State) []view.SupersededKey {
+	superseded := supersededKeys(state)
+	if state.ListedVersion.Era < state.Era && !state.isEraSettled {
+		return superseded
+	}
+	lost := lostKeys(state)
+	isLost := func(key view.SupersededKey) bool {
+		return slices.ContainsFunc(lost, func(other view.SupersededKey) bool { return other.Key == key.Key })
+	}
+	return slices.Concat(slices.DeleteFunc(superseded, isLost), lost)
+}
+
+// settleEra records that others have had the time to send what the store states in its
+// current era.
+func settleEra(state *State, now time.Time) Effects {
+	if state.Era == 0 || state.isEraSettled || now.Sub(state.eraLearnedAt) < registrationTime {
+		return Effects{}
+	}
+	state.isEraSettled = true
+	return Effects{RebuildConfiguration: true}
+}
--- a/internal/state/api/precedence_test.go
+++ b/internal/state/api/precedence_test.go
@@ -12,8 +12,8 @@
 // A store that was restored from a copy states version 7 of a document in a later era than
 // that in which version 9 was written.
 func ExamplePrecedence_After() {
-	written := api.Document{Key: "op/config", Era: 1, Revision: 900, Number: api.Number{Sequence: 9}}
-	copied := api.Document{Key: "op/config", Era: 2, Revision: 850, Number: api.Number{Sequence: 7}}
+	written := api.Document{Key: "config", Era: 1, Revision: 900, Number: api.Number{Sequence: 9}}
+	copied := api.Document{Key: "config", Era: 2, Revision: 850, Number: api.Number{Sequence: 7}}
 	fmt.Println(copied.Version().After(written.Version()), copied.Precedence().After(written.Precedence()))
 	// Output: true false
 }
--- a/internal/state/view/superseded.go
+++ b/internal/state/view/superseded.go
@@ -18,13 +18,16 @@
 	// SupersededByNumber is the reason if a document with a lower number was written
 	// after the one in force.
 	SupersededByNumber SupersededReason = "it was written after the document in force, with a lower number or none"
+	// SupersededByLoss is the reason if the store states no document of the key.
+	SupersededByLoss SupersededReason = "the store was restored from a copy that lacks the document in force"
 )
 
 // SupersededKey describes a key whose document in the store is older than the one in
-// force.
+// force, or that the restored store lacks.
 type SupersededKey struct {
 	Key string `json:"key"`
-	// StatedNumber, StatedEra and StatedRevision are those of the document in the store.
+	// StatedNumber, StatedEra and StatedRevision are those of the document in the store;
+	// 0 if it lacks the key.
 	StatedNumber   api.Number `json:"statedNumber"`
 	StatedEra      uint64     `json:"statedEra,omitempty"`
 	StatedRevision uint64     `json:"statedRevision"`
@@ -46,6 +49,9 @@
 	if !supersededkey.IsConfiguration {
 		return "none is needed: the replica writes its entry again, or the entry is removed"
 	}
+	if supersededkey.NumberInForce.IsZero() {
+		return "write it again, and then remove it if it is no longer wanted"
+	}
 	return fmt.Sprintf("write a version above %d", supersededkey.NumberInForce.Sequence)
 }
 
