--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -98,7 +98,7 @@
 		refusedDocuments: documentsByKey(state.RefusedDocuments),
 
 		supersededDocuments: supersededDocuments(state),
-		supersededKeys:      describedKeys(state),
+		supersededKeys:      supersededKeys(state),
 
 		indexes:          indexes,
 		scopes:           scopes,
--- a/internal/command/control/pending.go
+++ b/internal/command/control/pending.go
@@ -10,15 +10,16 @@
 
 // PendingDocument is a document that is not applied yet, because its key may be
 // written again: a removal whose lease may have expired only because the platform was
-// unreachable, or what the copy holds from which the platform's store was restored.
+// unreachable, or, if its writer gives no numbers, what the copy holds from which the
+// platform's store was restored.
 type PendingDocument struct {
 	Decoded api.DecodedDocument
 	// DueAt is when the document is applied unless the key is written again.
 	DueAt time.Time
 }
 
-// holdBackTime is how long an older content of a restored store is held back. The
-// operator and live instances write again within about two seconds.
+// holdBackTime is how long another content of a restored store is held back if its writer
+// gives no numbers. Live instances write again within about two seconds.
 const holdBackTime = registrationTime
 
 // receiveDocument applies a document, or holds it back if its key may be written
--- a/internal/command/control/superseded.go
+++ b/internal/command/control/superseded.go
@@ -119,8 +119,8 @@
 	return documents
 }
 
-// supersededKeys describes the superseded documents, sorted by key.
-func supersededKeys(state *State) []view.SupersededKey {
+// olderKeys describes the keys of which the store states an older document, sorted by key.
+func olderKeys(state *State) []view.SupersededKey {
 	var keys []view.SupersededKey
 	for key, superseded := range state.SupersededDocuments {
 		keys = append(keys, supersededKey(state, key, superseded))
@@ -172,18 +172,18 @@
 	return keys
 }
 
-// describedKeys returns the superseded keys and, once the instance can be expected to know
-// what the store states in its current era, the lost ones.
-func describedKeys(state *State) []view.SupersededKey {
-	superseded := supersededKeys(state)
+// supersededKeys returns olderKeys and, once the instance can be expected to know what the
+// store states in its current era, lostKeys.
+func supersededKeys(state *State) []view.SupersededKey {
+	older := olderKeys(state)
 	if state.ListedVersion.Era < state.Era && !state.isEraSettled {
-		return superseded
+		return older
 	}
 	lost := lostKeys(state)
 	isLost := func(key view.SupersededKey) bool {
 		return slices.ContainsFunc(lost, func(other view.SupersededKey) bool { return other.Key == key.Key })
 	}
-	return slices.Concat(slices.DeleteFunc(superseded, isLost), lost)
+	return slices.Concat(slices.DeleteFunc(older, isLost), lost)
 }
 
 // settleEra records that others have had the time to send what the store states in its
