--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -162,7 +162,6 @@
 		control.logger.Info("documents held back until their keys are written again", zap.Int("count", effects.HeldBackCount), zap.Uint64("era", control.state.Era))
 	}
 	control.logRemovals(effects.Removals)
-	control.logLost(effects.Removals)
 	control.logSuperseded(effects)
 	if effects.hasGossip() {
 		control.logChanges(effects.Gossip)
--- a/internal/command/control/effects.go
+++ b/internal/command/control/effects.go
@@ -27,7 +27,8 @@
 	// Removals holds the decisions about removals, to be logged.
 	Removals []Removal
 	// Superseded holds the keys of which the store was found to state an older document
-	// than the one in force, and Restated those of which it no longer does, to be logged.
+	// than the one in force, or none, and Restated those of which it no longer states an
+	// older one, to be logged.
 	Superseded, Restated []string
 }
 
--- a/internal/command/control/pending.go
+++ b/internal/command/control/pending.go
@@ -93,8 +93,7 @@
 	document := decoded.Document
 	pendingdocument, isPending := state.PendingDocuments[document.Key]
 	pending := pendingdocument.Decoded.Document
-	isNewer := document.Precedence().After(state.DocumentsInForce[document.Key].Document.Precedence()) && document.Precedence().After(pending.Precedence())
-	if !isNewer {
+	if !isNewest(state, document) {
 		return Effects{}
 	}
 	if isPending && pending.Era == document.Era {
--- a/internal/command/control/removal.go
+++ b/internal/command/control/removal.go
@@ -50,6 +50,7 @@
 		effects.merge(holdBack(state, deletion, lapseEnd(state, now)))
 	case view.RemovalLost:
 		effects = applyDocument(state, known, now)
+		effects.Superseded = append(effects.Superseded, deletion.Document.Key)
 	}
 	state.RemovalCounts[rule]++
 	effects.PublishStats = true
@@ -121,9 +122,14 @@
 // The removal is not among the changes since the listing.
 func isUnlisted(state *State, document api.Document) bool {
 	key := document.Key
-	isNewer := document.Precedence().After(state.DocumentsInForce[key].Document.Precedence()) &&
-		document.Precedence().After(state.PendingDocuments[key].Decoded.Document.Precedence())
-	return !document.IsDeleted && isNewer && !isStatedInEra(state, key, state.ListedVersion.Era) && state.ListedVersion.After(document.Version())
+	return !document.IsDeleted && isNewest(state, document) && !isStatedInEra(state, key, state.ListedVersion.Era) && state.ListedVersion.After(document.Version())
+}
+
+// isNewest reports whether document is newer than the one of its key in force and than a
+// pending one.
+func isNewest(state *State, document api.Document) bool {
+	inForce, pending := state.DocumentsInForce[document.Key].Document, state.PendingDocuments[document.Key].Decoded.Document
+	return document.Precedence().After(inForce.Precedence()) && document.Precedence().After(pending.Precedence())
 }
 
 // isStatedInEra reports whether the store stated a document of key in the era, and not
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -255,69 +255,6 @@
 	return Effects{}
 }
 
-// applyDocument stores a document if it is newer than the one in force. One that is
-// older, but that the store stated later, is recorded as superseded. An invalid document
-// is only recorded as refused: the valid document before it stays in force.
-func applyDocument(state *State, decoded api.DecodedDocument, now time.Time) Effects {
-	document := decoded.Document
-	if decoded.RefusalReason != "" {
-		return applyRefusedDocument(state, decoded)
-	}
-	inForce := state.DocumentsInForce[document.Key]
-	isNewer := document.Precedence().After(inForce.Document.Precedence())
-	if !isNewer && !document.Version().After(validVersion(state, document.Key)) {
-		return Effects{}
-	}
-	if definesConfiguration(decoded) || definesConfiguration(inForce) {
-		raiseConfigurationVersion(state, document.Version())
-	}
-	if document.Version().After(state.RefusedDocuments[document.Key].Document.Version()) {
-		delete(state.RefusedDocuments, document.Key)
-	}
-	if isNewer {
-		return putInForce(state, decoded, now)
-	}
-	return supersede(state, decoded, now)
-}
-
-// newerInstances returns next, or known if next has an older incarnation of one
-// of the known instances, or the same incarnation in another upstream. In the first
-// case next is a late write of a process that has been replaced, in the second case
-// it is of another writer: a process does not change its upstream.
-func newerInstances(known, next *api.InstanceList) *api.InstanceList {
-	if known == nil || next == nil {
-		return next
-	}
-	byName := make(map[string]api.Instance, len(known.Instances))
-	for _, instance := range known.Instances {
-		byName[instance.Name] = instance
-	}
-	for _, instance := range next.Instances {
-		previous, isKnown := byName[instance.Name]
-		isOther := instance.Incarnation == previous.Incarnation && instance.Upstream != previous.Upstream
-		if isKnown && (instance.Incarnation < previous.Incarnation || isOther) {
-			return known
-		}
-	}
-	return next
-}
-
-// applyRefusedDocument records an invalid document if the store stated it after all that
-// is known of its key.
-func applyRefusedDocument(state *State, decoded api.DecodedDocument) Effects {
-	document := decoded.Document
-	if !document.Version().After(statedVersion(state, document.Key)) {
-		return Effects{}
-	}
-	state.RefusedDocuments[document.Key] = decoded
-	return documentChanged(document)
-}
-
-// documentChanged returns the effects of a new document, in force or refused.
-func documentChanged(document api.Document) Effects {
-	return Effects{RebuildConfiguration: true, Gossip: api.Gossip{Keys: []api.KeyRevision{document.KeyRevision()}}}
-}
-
 const (
 	// settleTime is how long no unknown instance must have been learned of for this
 	// instance to count as knowing all. Instances that start at the same time learn
--- a/internal/command/control/superseded.go
+++ b/internal/command/control/superseded.go
@@ -18,61 +18,6 @@
 	Since time.Time
 }
 
-// putInForce replaces the document in force by decoded, which is newer, and keeps what
-// the store is known to have stated last.
-func putInForce(state *State, decoded api.DecodedDocument, now time.Time) Effects {
-	document := decoded.Document
-	previous := state.DocumentsInForce[document.Key]
-	stated, wasSuperseded := state.SupersededDocuments[document.Key]
-	if previous.Document.Version().After(stated.Decoded.Document.Version()) {
-		stated = SupersededDocument{Decoded: previous, Since: now}
-	}
-	if stated.Decoded.Document.Version().After(document.Version()) && stated.Decoded.Document.IsDeleted {
-		decoded = followingRemoval(stated.Decoded, document.Number)
-		document = decoded.Document
-	}
-	decoded.Instances = newerInstances(previous.Instances, decoded.Instances)
-	state.DocumentsInForce[document.Key] = decoded
-	if !state.PendingDocuments[document.Key].Decoded.Document.Precedence().After(document.Precedence()) {
-		delete(state.PendingDocuments, document.Key)
-	}
-	effects := documentChanged(document)
-	isSuperseded := stated.Decoded.Document.Version().After(document.Version())
-	switch {
-	case isSuperseded:
-		state.SupersededDocuments[document.Key] = stated
-		effects.Superseded = append(effects.Superseded, document.Key)
-	case wasSuperseded:
-		delete(state.SupersededDocuments, document.Key)
-		if !document.IsDeleted {
-			effects.Restated = append(effects.Restated, document.Key)
-		}
-	}
-	return effects
-}
-
-// supersede records that the store states decoded, which is older than the document in
-// force, after all valid documents known of its key. A removal removes all that was written
-// before it, whatever its number.
-func supersede(state *State, decoded api.DecodedDocument, now time.Time) Effects {
-	document := decoded.Document
-	if document.IsDeleted {
-		return putInForce(state, followingRemoval(decoded, state.DocumentsInForce[document.Key].Document.Number), now)
-	}
-	state.SupersededDocuments[document.Key] = SupersededDocument{Decoded: decoded, Since: now}
-	effects := documentChanged(document)
-	effects.Superseded = append(effects.Superseded, document.Key)
-	return effects
-}
-
-// followingRemoval returns the removal as one of a document with the given number.
-func followingRemoval(removal api.DecodedDocument, number api.Number) api.DecodedDocument {
-	if number.Compare(removal.Document.Number) > 0 {
-		removal.Document.Number = number
-	}
-	return removal
-}
-
 // receiveOlderEntry treats an entry of a replica like a missing one if the store, in a
 // later era, states an older content than is known: it is of the copy, and a live process
 // writes again. One that was removed already stays removed.
@@ -119,71 +64,51 @@
 	return documents
 }
 
-// olderKeys describes the keys of which the store states an older document, sorted by key.
-func olderKeys(state *State) []view.SupersededKey {
+// supersededKeys describes the keys of which the store states an older document than the
+// one in force, or none, sorted by key.
+func supersededKeys(state *State) []view.SupersededKey {
 	var keys []view.SupersededKey
-	for key, superseded := range state.SupersededDocuments {
-		keys = append(keys, supersededKey(state, key, superseded))
+	for key := range state.DocumentsInForce {
+		if described, isSuperseded := describeSuperseded(state, key); isSuperseded {
+			keys = append(keys, described)
+		}
 	}
 	slices.SortFunc(keys, func(a, b view.SupersededKey) int { return strings.Compare(a.Key, b.Key) })
 	return keys
 }
 
-func supersededKey(state *State, key string, superseded SupersededDocument) view.SupersededKey {
-	inForce, stated := state.DocumentsInForce[key], superseded.Decoded
+// describeSuperseded describes key. It reports false if the store states the document in
+// force, as far as this instance knows.
+func describeSuperseded(state *State, key string) (view.SupersededKey, bool) {
+	inForce := state.DocumentsInForce[key]
+	superseded, isSuperseded := state.SupersededDocuments[key]
+	stated := superseded.Decoded
 	described := view.SupersededKey{
 		Key:             key,
-		StatedNumber:    stated.Document.Number,
-		StatedEra:       stated.Document.Era,
-		StatedRevision:  stated.Document.Revision,
 		NumberInForce:   inForce.Document.Number,
 		EraInForce:      inForce.Document.Era,
 		RevisionInForce: inForce.Document.Revision,
 		IsRemoved:       inForce.Document.IsDeleted,
 		IsConfiguration: definesConfiguration(inForce) || definesConfiguration(stated),
-		Reason:          view.SupersededByNumber,
-		Since:           superseded.Since,
 	}
+	if isLostByStore(state, key) {
+		described.Reason, described.Since = view.SupersededByLoss, state.eraLearnedAt
+		return described, true
+	}
+	described.StatedNumber, described.StatedEra, described.StatedRevision = stated.Document.Number, stated.Document.Era, stated.Document.Revision
+	described.Reason, described.Since = view.SupersededByNumber, superseded.Since
 	if stated.Document.Era > inForce.Document.Era {
 		described.Reason = view.SupersededByRestore
 	}
-	return described
-}
-
-// lostKeys describes, sorted by key, the documents of the configuration that the store has
-// not stated in its current era: it may have lost them.
-func lostKeys(state *State) []view.SupersededKey {
-	var keys []view.SupersededKey
-	forEachDocument(state, func(decoded api.DecodedDocument) {
-		document := decoded.Document
-		if !definesConfiguration(decoded) || statedVersion(state, document.Key).Era >= state.Era {
-			return
-		}
-		keys = append(keys, view.SupersededKey{
-			Key:             document.Key,
-			NumberInForce:   document.Number,
-			EraInForce:      document.Era,
-			RevisionInForce: document.Revision,
-			IsConfiguration: true,
-			Reason:          view.SupersededByLoss,
-			Since:           state.eraLearnedAt,
-		})
-	})
-	return keys
+	return described, isSuperseded
 }
 
-// supersededKeys returns olderKeys and, once the instance can be expected to know what the
-// store states in its current era, lostKeys.
-func supersededKeys(state *State) []view.SupersededKey {
-	older := olderKeys(state)
-	if state.ListedVersion.Era < state.Era && !state.isEraSettled {
-		return older
-	}
-	lost := lostKeys(state)
-	isLost := func(key view.SupersededKey) bool {
-		return slices.ContainsFunc(lost, func(other view.SupersededKey) bool { return other.Key == key.Key })
-	}
-	return slices.Concat(slices.DeleteFunc(older, isLost), lost)
+// isLostByStore reports whether a document of the configuration is in force although the
+// store has not stated one in its current era. The instance can be expected to know once it
+// has listed the store, or others have had the time to send what it states.
+func isLostByStore(state *State, key string) bool {
+	isEraKnown := state.ListedVersion.Era >= state.Era || state.isEraSettled
+	return isEraKnown && definesConfiguration(state.DocumentsInForce[key]) && statedVersion(state, key).Era < state.Era
 }
 
 // settleEra records that others have had the time to send what the store states in its
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -40,8 +40,8 @@
 	DocumentsInForce map[string]api.Document
 	RefusedDocuments map[string]api.Document
 	// SupersededDocuments holds, by key, what the store states although a document with
-	// a higher number is in force. SupersededKeys describes them, sorted by key, and then
-	// what the restored store lacks.
+	// a higher number is in force. SupersededKeys describes them, and what the
+	// restored store lacks, sorted by key.
 	SupersededDocuments map[string]api.Document
 	SupersededKeys      []SupersededKey
 	// Neighbours names the members that this instance probes.
