--- a/review/harness-3/fleet.go
+++ b/review/harness-3/fleet.go
@@ -47,7 +47,7 @@
 	store    *store
 	ports    map[string]int
 	machines []*machine
-	memoryMB int
+	figures  figures
 }
 
 // front returns the address for consumers.
@@ -57,65 +57,94 @@
 	return fmt.Sprintf("%s:%d", machine.ip, machine.fleet.ports[listener])
 }
 
-// freePorts returns ports that are free now, by listener.
-func freePorts(listeners ...string) (map[string]int, error) {
-	ports := make(map[string]int)
-	for _, name := range listeners {
-		listener, err := net.Listen("tcp", "0.0.0.0:0")
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		ports[name] = listener.Addr().(*net.TCPAddr).Port
-	}
-	return ports, nil
-}
-
 // operatorPort is the port of the operators' listener in deploy/settings.toml.
 const operatorPort = 9464
 
-// freeBlock returns the first three numbers of loopback addresses of which no other
-// deployment uses the port for operators.
-func freeBlock() (string, error) {
+// chooseAddresses gives each machine a loopback address of its own, and all of them the same
+// ports, so that everything is free that their processes will listen on.
+func (fleet *fleet) chooseAddresses() error {
 	for number := range 200 {
 		block := fmt.Sprintf("127.88.%d", (os.Getpid()+number)%250)
-		listener, err := net.Listen("tcp", fmt.Sprintf("%s.20:%d", block, operatorPort))
-		if err == nil {
-			return block, listener.Close()
+		for index, machine := range fleet.machines {
+			machine.ip = fmt.Sprintf("%s.%d", block, 20+index)
+		}
+		if fleet.choosePorts() == nil {
+			return nil
 		}
 	}
-	return "", errors.New("no loopback addresses are free")
+	return errors.New("no loopback addresses and ports are free")
 }
 
+// choosePorts chooses ports that are free at the address of the first machine, and reports
+// an error unless they and the operators' port are free at all of them.
+func (fleet *fleet) choosePorts() error {
+	fleet.ports = make(map[string]int)
+	for _, name := range []string{"front", "readiness", "control", "directory"} {
+		listener, err := net.Listen("tcp", fleet.machines[0].ip+":0")
+		if err != nil {
+			return err
+		}
+		defer listener.Close()
+		fleet.ports[name] = listener.Addr().(*net.TCPAddr).Port
+	}
+	for index, machine := range fleet.machines {
+		control, err := net.ListenPacket("udp", machine.address("control"))
+		if err != nil {
+			return err
+		}
+		_ = control.Close()
+		addresses := []string{fmt.Sprintf("%s:%d", machine.ip, operatorPort)}
+		for name := range fleet.ports {
+			if index > 0 {
+				addresses = append(addresses, machine.address(name))
+			}
+		}
+		for _, address := range addresses {
+			listener, err := net.Listen("tcp", address)
+			if err != nil {
+				return err
+			}
+			_ = listener.Close()
+		}
+	}
+	return nil
+}
+
+// figures are those of a site that the settings of its machines state.
+type figures struct {
+	memoryMB, maxDescriptors int
+	cpuShare                 float64
+	configApplyMS            int
+	retrySlack               int
+}
+
+// The figures of the users' sheets. Where machines differ, they are those of the smallest.
+var (
+	batinah = figures{memoryMB: 284, maxDescriptors: 4100, cpuShare: 0.4, configApplyMS: 3000, retrySlack: 56}
+	socios  = figures{memoryMB: 136, maxDescriptors: 2870, cpuShare: 0.134, configApplyMS: 5000, retrySlack: 253}
+)
+
 // newFleet returns a deployment with the given number of machines in each zone. Nothing
 // but the store is started.
-func newFleet(folder string, record *record, memoryMB int, zones []string, counts []int) (*fleet, error) {
-	ports, err := freePorts("front", "readiness", "control", "directory")
-	if err != nil {
-		return nil, err
-	}
+func newFleet(folder string, record *record, figures figures, zones []string, counts []int) (*fleet, error) {
 	store, err := newStore("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	block, err := freeBlock()
-	if err != nil {
-		return nil, err
-	}
-	fleet := &fleet{folder: folder, record: record, store: store, ports: ports, memoryMB: memoryMB}
+	fleet := &fleet{folder: folder, record: record, store: store, figures: figures}
 	for zoneNumber, zone := range zones {
 		for number := range counts[zoneNumber] {
 			name := fmt.Sprintf("front-%s-%d", zone, number+1)
-			fleet.machines = append(fleet.machines, &machine{name: name, zone: zone, ip: fmt.Sprintf("%s.%d", block, 20*(zoneNumber+1)+number), fleet: fleet})
+			fleet.machines = append(fleet.machines, &machine{name: name, zone: zone, fleet: fleet})
 		}
 	}
-	return fleet, nil
+	return fleet, fleet.chooseAddresses()
 }
 
 // fields returns the settings that the platform states to a machine, as DEPLOY.md lists
 // them, by name.
 func (machine *machine) fields() map[string]any {
-	fleet := machine.fleet
+	fleet, figures := machine.fleet, machine.fleet.figures
 	var seeds []string
 	for index := range min(len(fleet.machines), 3) {
 		seeds = append(seeds, fleet.machines[index*len(fleet.machines)/3].address("control"))
@@ -125,8 +154,8 @@
 		"listen_addrs.front": machine.front(), "listen_addrs.control": machine.address("control"),
 		"listen_addrs.directory": machine.address("directory"), "listen_addrs.readiness": machine.address("readiness"),
 		"platform.address": fleet.store.address,
-		"limits.cores":     1, "limits.cpu_share": 0.4, "limits.memory_mb": fleet.memoryMB, "limits.max_fds": 4100,
-		"bounds.config_apply_ms": 3000, "bounds.retry_ratio": 0.2, "bounds.retry_slack": 56, "bounds.retry_window_s": 10,
+		"limits.cores":     1, "limits.cpu_share": figures.cpuShare, "limits.memory_mb": figures.memoryMB, "limits.max_fds": figures.maxDescriptors,
+		"bounds.config_apply_ms": figures.configApplyMS, "bounds.retry_ratio": 0.2, "bounds.retry_slack": figures.retrySlack, "bounds.retry_window_s": 10,
 	}
 }
 
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -16,9 +18,12 @@
 
 func main() { os.Exit(run()) }
 
+// maxTime is how long a case may take.
+const maxTime = 115 * time.Second
+
 func run() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness-3 CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness-3 CASE RECORD TROUBLE")
 		return 2
 	}
 	play := cases[os.Args[1]]
@@ -35,7 +40,8 @@
 	}
 	defer os.RemoveAll(folder)
 	record := &record{file: file, start: time.Now()}
-	isBroken, err := play(folder, record, os.Getenv("TROUBLE") != "0")
+	go watch(record, folder)
+	isBroken, err := play(folder, record, os.Args[3] != "0")
 	switch {
 	case err != nil:
 		record.log("the case could not run: %v", err)
@@ -47,3 +53,18 @@
 	record.log("the rule held")
 	return 0
 }
+
+// watch ends a case that takes too long or gets a signal. The processes that it has started
+// end with it.
+func watch(record *record, folder string) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	select {
+	case received := <-signals:
+		record.log("the case could not run: %v", received)
+	case <-time.After(maxTime):
+		record.log("the case could not run: it takes over %s", maxTime)
+	}
+	_ = os.RemoveAll(folder)
+	os.Exit(2)
+}
--- a/review/harness-3/odd.go
+++ b/review/harness-3/odd.go
@@ -11,7 +11,6 @@
 
 // Settings of the users' first site, Batinah.
 const (
-	batinahMemoryMB = 284
 	// batinahRecovery is recovery_s.
 	batinahRecovery = 12 * time.Second
 	// batinahConfigApply is config_apply_ms.
@@ -40,7 +39,7 @@
 
 func newOddFleet(folder string, record *record) (*oddFleet, error) {
 	zones := []string{"muscat-a", "sohar-b", "nizwa-c"}
-	fleet, err := newFleet(folder, record, batinahMemoryMB, zones, []int{3, 3, 2})
+	fleet, err := newFleet(folder, record, batinah, zones, []int{3, 3, 2})
 	if err != nil {
 		return nil, err
 	}
@@ -87,7 +86,7 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	record.log("%d machines of %d MB are ready", len(fleet.machines), batinahMemoryMB)
+	record.log("%d machines of %d MB are ready", len(fleet.machines), batinah.memoryMB)
 	var isDone atomic.Bool
 	var work sync.WaitGroup
 	// phase counts the exchanges by their outcome until it is replaced.
@@ -174,7 +173,7 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	record.log("%d machines of %d MB are ready", len(fleet.machines), batinahMemoryMB)
+	record.log("%d machines of %d MB are ready", len(fleet.machines), batinah.memoryMB)
 	var isDone atomic.Bool
 	var work sync.WaitGroup
 	var targets []*routesTarget
@@ -206,7 +205,7 @@
 	for _, target := range targets[1:] {
 		work.Go(func() {
 			for !isDone.Load() {
-				if bytes := memoryBytes(target.machine.pid()); bytes > int64(batinahMemoryMB)<<20 {
+				if bytes := memoryBytes(target.machine.pid()); bytes > int64(batinah.memoryMB)<<20 {
 					record.log("%s: the process holds %d MB, is killed and started again", target.machine.name, bytes>>20)
 					target.machine.kill()
 					time.Sleep(time.Second)
@@ -248,7 +247,7 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	record.log("%d machines of %d MB are ready", len(fleet.machines), batinahMemoryMB)
+	record.log("%d machines of %d MB are ready", len(fleet.machines), batinah.memoryMB)
 	if isTrouble {
 		fleet.writeOddEntries(configEntries)
 	}
--- a/review/harness-3/routes.go
+++ b/review/harness-3/routes.go
@@ -19,11 +19,9 @@
 	routesPerVersion = 1400
 	routesVersions   = 12
 	// routesLimit bounds the time of the case.
-	routesLimit = 108 * time.Second
+	routesLimit = 100 * time.Second
 	// routesVersionTime is how long a version is in force before the next one is written.
 	routesVersionTime = 8 * time.Second
-	// routesMemoryMB is the memory of the smallest machines of Socios Agiles.
-	routesMemoryMB = 136
 	// routesTargets is the number of machines whose consumers use every route.
 	routesTargets = 2
 	// routesWorkers is the number of consumers at each of them that use new routes, and
@@ -205,7 +203,7 @@
 func routesCase(folder string, record *record, isTrouble bool) (bool, error) {
 	end := time.Now().Add(routesLimit)
 	zones := []string{"centro-a", "centro-b", "centro-c"}
-	fleet, err := newFleet(folder, record, routesMemoryMB, zones, []int{2, 1, 1})
+	fleet, err := newFleet(folder, record, socios, zones, []int{2, 1, 1})
 	if err != nil {
 		return false, err
 	}
@@ -228,7 +226,7 @@
 		return false, err
 	}
 	time.Sleep(4 * time.Second)
-	record.log("%d machines of %d MB are ready", len(fleet.machines), routesMemoryMB)
+	record.log("%d machines of %d MB are ready", len(fleet.machines), socios.memoryMB)
 	var targets []*routesTarget
 	for _, machine := range fleet.machines[:routesTargets] {
 		targets = append(targets, &routesTarget{machine: machine, replicas: replicas, record: record})
@@ -304,7 +302,7 @@
 func (target *routesTarget) watchMemory(isDone *atomic.Bool) {
 	for !isDone.Load() && !target.hasEnded.Load() {
 		bytes := memoryBytes(target.machine.pid())
-		if bytes > int64(routesMemoryMB)<<20 {
+		if bytes > int64(socios.memoryMB)<<20 {
 			target.record.log("%s: the process holds %d MB and is killed", target.machine.name, bytes>>20)
 			target.machine.kill()
 			target.hasEnded.Store(true)
