platform, command/platform, command/control: entries without use cost next to nothing

Cause: Store.list held a whole listing and gave it up once its items exceeded a tenth of the process's memory, entries without use among them, and the reader listed again for ever. A reply to a watch had a bound of 4 MB of its own.

Ruled out: that the entries themselves end anything; with 20 of them all held.

Now a reply is scanned item by item, and an item that cannot be used keeps its key, revision, length and reason only. A listing is read page by page; control infers removals from the keys of a page, and a page that fails is read again. An item without a value that can be decoded is refused, and no longer leaves the listing incomplete. Their changes are published at most every 250 ms and rebuild nothing in use. A key that is refused again is taken every 10 s.

TestDocumentOrders passes on refused documents as peers do, without their value.

--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -17,9 +17,16 @@
 	for name, member := range state.Members {
 		members[name] = member.Member
 	}
+	if effects.RebuildConfiguration || effects.RebuildDocuments {
+		enforceBounds(state)
+		state.sortedDocuments = sortDocuments(state)
+	}
 	if effects.RebuildConfiguration {
 		buildConfiguration(state)
 	}
+	if effects.RebuildConfiguration || effects.RebuildDocuments {
+		buildDocuments(state)
+	}
 	if effects.RebuildRoles {
 		buildRoles(state, members)
 	}
@@ -28,7 +35,7 @@
 		buildPacing(state, members, view.MonotonicNow())
 	}
 	state.viewNumber++
-	configuration, roles := state.configuration, state.roles
+	configuration, documents, roles := state.configuration, state.documents, state.roles
 	return &view.View{
 		Number:           state.viewNumber,
 		IsConfigured:     state.IsConfigured,
@@ -36,11 +43,11 @@
 		Self:             state.Self,
 		Members:          members,
 		ListedInstances:  configuration.listedInstances,
-		DocumentsInForce: configuration.documentsInForce,
-		RefusedDocuments: configuration.refusedDocuments,
+		DocumentsInForce: documents.documentsInForce,
+		RefusedDocuments: documents.refusedDocuments,
 
-		SupersededDocuments: configuration.supersededDocuments,
-		SupersededKeys:      configuration.supersededKeys,
+		SupersededDocuments: documents.supersededDocuments,
+		SupersededKeys:      documents.supersededKeys,
 
 		Neighbours:         roles.neighbours.Probed,
 		GossipNeighbours:   roles.neighbours.Gossip,
@@ -55,8 +62,11 @@
 		Routes:             configuration.routes,
 		Limits:             configuration.limits,
 		Replicas:           state.Replicas,
-		KeyStatuses:        configuration.keyStatuses,
-		ConfigDigest:       configuration.digest,
+		KeyStatuses:        documents.keyStatuses,
+		UnusedKeys:         documents.unusedKeys,
+		RemovedAt:          documents.removedAt,
+		ListingNumber:      state.retention.listingNumber,
+		ConfigDigest:       documents.digest,
 		MembersDigest:      roles.digest,
 		LeavingReplicas:    configuration.leavingReplicas,
 		StoppedHomes:       roles.stoppedHomes,
@@ -85,8 +95,12 @@
 // buildConfiguration rebuilds the part of the View that is derived from documents,
 // leaving replicas and snapshot reports.
 func buildConfiguration(state *State) {
-	state.sortedDocuments = sortDocuments(state)
 	upstreams := upstreamsByName(state)
+	names := make(map[string]bool, len(upstreams))
+	for name := range upstreams {
+		names[name] = true
+	}
+	requestListing(state, names)
 	evacuated := evacuatedDomains(state)
 	buildReplicas(state, upstreams, evacuated)
 	upstreamReplicas := replicasByUpstream(state)
@@ -94,20 +108,29 @@
 	scopes := buildScopes(state, indexes, splitResolver(upstreams, upstreamReplicas))
 	state.configuration = configuration{
 		listedInstances:  listedInstances(state),
-		documentsInForce: documentsByKey(state.DocumentsInForce),
-		refusedDocuments: documentsByKey(state.RefusedDocuments),
-
-		supersededDocuments: supersededDocuments(state),
-		supersededKeys:      supersededKeys(state),
-
 		indexes:          indexes,
 		scopes:           scopes,
 		routes:           buildRoutes(scopes),
 		limits:           callerLimits(state),
-		keyStatuses:      keyStatuses(state),
-		digest:           keysDigest(state),
 		evacuatedDomains: evacuated,
 		leavingReplicas:  sortedByLearnTime(state.LeavingReplicas),
+		upstreamNames:    names,
+	}
+}
+
+// buildDocuments rebuilds the part of the View that states which documents are known.
+func buildDocuments(state *State) {
+	state.documents = documents{
+		documentsInForce: documentsByKey(state.DocumentsInForce),
+		refusedDocuments: documentsByKey(state.RefusedDocuments),
+
+		supersededDocuments: supersededDocuments(state),
+		supersededKeys:      supersededKeys(state),
+
+		keyStatuses: keyStatuses(state),
+		unusedKeys:  unusedKeys(state),
+		removedAt:   maps.Clone(state.retention.removedAt),
+		digest:      keysDigest(state),
 	}
 }
 
@@ -402,9 +425,13 @@
 func keyStatuses(state *State) []view.KeyStatus {
 	statuses := make(map[string]view.KeyStatus, len(state.DocumentsInForce))
 	for key, decoded := range state.DocumentsInForce {
-		statuses[key] = view.KeyStatus{Key: key, EraInForce: decoded.Document.Era, RevisionInForce: decoded.Document.Revision, IsIgnored: decoded.IgnoredReason != ""}
+		statuses[key] = view.KeyStatus{Key: key, EraInForce: decoded.Document.Era, RevisionInForce: decoded.Document.Revision}
 	}
 	for key, decoded := range state.RefusedDocuments {
+		if decoded.IgnoredReason != "" {
+			statuses[key] = view.KeyStatus{Key: key, EraInForce: decoded.Document.Era, RevisionInForce: decoded.Document.Revision, IsIgnored: true}
+			continue
+		}
 		status := statuses[key]
 		status.Key = key
 		status.RefusedEra, status.RefusedRevision = decoded.Document.Era, decoded.Document.Revision
--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -59,6 +59,12 @@
 	// isStatsUpdateDue is set while changed loads, counts or times are not yet
 	// published.
 	isStatsUpdateDue bool
+	// isDocumentsUpdateDue is set while documents that are of no use are not yet published,
+	// and delayedKeys holds those to send to the neighbours then.
+	isDocumentsUpdateDue bool
+	delayedKeys          map[string]api.KeyRevision
+	// unusedLog limits the lines about documents that are of no use.
+	unusedLog lineLimit
 	// loggedPaces holds the replicas that were logged as cold or paced.
 	loggedPaces map[string]bool
 	// pacesLoggedAt is when logPaces last ran, as the time since view.MonotonicOrigin.
@@ -77,6 +83,7 @@
 		state:       state,
 		logger:      logger,
 		loggedPaces: make(map[string]bool),
+		delayedKeys: make(map[string]api.KeyRevision),
 		done:        make(chan struct{}),
 	}
 }
@@ -150,7 +157,7 @@
 		control.CurrentView.BeginRefresh()
 		control.peerCalls.Refresh()
 	}
-	control.publish(effects)
+	delayedKeys := control.publish(effects)
 	if effects.EndRefresh {
 		control.CurrentView.EndRefresh()
 	}
@@ -167,19 +174,29 @@
 		control.logChanges(effects.Gossip)
 		control.peerCalls.SendGossip(effects.Gossip)
 	}
+	if len(delayedKeys) > 0 {
+		control.logUnused(delayedKeys)
+		control.peerCalls.SendGossip(api.Gossip{Keys: delayedKeys})
+	}
 }
 
 // publish builds and publishes a new View if effects ask for one. Changed loads,
-// counts and times alone are published only once the last View is statsInterval
-// old.
-func (control *Control) publish(effects Effects) {
+// counts and times, and documents that are of no use, are published only once the last View
+// is statsInterval old. It returns the documents of no use to send to the neighbours.
+func (control *Control) publish(effects Effects) []api.KeyRevision {
 	control.isStatsUpdateDue = control.isStatsUpdateDue || effects.PublishStats
+	control.isDocumentsUpdateDue = control.isDocumentsUpdateDue || effects.RebuildDocuments
+	for _, keyrevision := range effects.DelayedKeys {
+		control.delayedKeys[keyrevision.Key] = keyrevision
+	}
 	now := time.Now()
 	isUrgent := effects.RebuildConfiguration || effects.RebuildRoles
-	if !isUrgent && (!control.isStatsUpdateDue || now.Sub(control.publishedAt) < statsInterval) {
-		return
+	isDue := control.isStatsUpdateDue || control.isDocumentsUpdateDue
+	if !isUrgent && (!isDue || now.Sub(control.publishedAt) < statsInterval) {
+		return nil
 	}
-	control.isStatsUpdateDue = false
+	effects.RebuildDocuments = control.isDocumentsUpdateDue
+	control.isStatsUpdateDue, control.isDocumentsUpdateDue = false, false
 	control.publishedAt = now
 	previous := control.CurrentView.Load()
 	current := Build(control.state, effects)
@@ -191,6 +208,21 @@
 	if previous.Senders.ChangedAt != current.Senders.ChangedAt {
 		control.logSenders(current)
 	}
+	return control.takeDelayedKeys(current)
+}
+
+// takeDelayedKeys returns the documents of no use that current has and that were not sent
+// to the neighbours yet.
+func (control *Control) takeDelayedKeys(current *view.View) []api.KeyRevision {
+	var keys []api.KeyRevision
+	for key, keyrevision := range control.delayedKeys {
+		held := current.HeldVersions(key)
+		if held.InForce.Stored == keyrevision.Version() || held.Refused == keyrevision.Version() {
+			keys = append(keys, keyrevision)
+		}
+	}
+	clear(control.delayedKeys)
+	return keys
 }
 
 // logSenders logs which members divide the senders' part of the retry budget's slack.
@@ -256,8 +288,8 @@
 	}
 }
 
-// logDocument logs whether a new version of a key is in force or refused. One that is
-// superseded is logged by logSuperseded.
+// logDocument logs that a new version of a key is in force. One that is superseded is logged
+// by logSuperseded, one that is of no use by logUnused.
 func (control *Control) logDocument(keyrevision api.KeyRevision) {
 	if superseded := control.state.SupersededDocuments[keyrevision.Key].Decoded.Document; superseded.Version() == keyrevision.Version() {
 		return
@@ -269,10 +301,5 @@
 	if keyrevision.Era > 0 {
 		fields = append(fields, zap.Uint64("era", keyrevision.Era))
 	}
-	refused := control.state.RefusedDocuments[keyrevision.Key]
-	if refused.Document.Version() == keyrevision.Version() {
-		control.logger.Warn("document refused", append(fields, zap.String("reason", refused.RefusalReason))...)
-		return
-	}
 	control.logger.Info("document in force", fields...)
 }
--- a/internal/command/control/digest.go
+++ b/internal/command/control/digest.go
@@ -17,7 +17,12 @@
 		digest ^= documentDigest("inForce", decoded.Document)
 	}
 	for _, decoded := range state.RefusedDocuments {
-		digest ^= documentDigest("refused", decoded.Document)
+		// Instances of earlier versions count ignored documents as in force.
+		kind := "refused"
+		if decoded.IgnoredReason != "" {
+			kind = "inForce"
+		}
+		digest ^= documentDigest(kind, decoded.Document)
 	}
 	for _, superseded := range state.SupersededDocuments {
 		digest ^= documentDigest("superseded", superseded.Decoded.Document)
--- a/internal/command/control/document.go
+++ b/internal/command/control/document.go
@@ -7,12 +7,12 @@
 )
 
 // applyDocument stores a document if it is newer than the one in force. One that is
-// older, but that the store stated later, is recorded as superseded. An invalid document
-// is only recorded as refused: the valid document before it stays in force.
+// older, but that the store stated later, is recorded as superseded. An invalid or ignored
+// document is only recorded: the valid document before it stays in force.
 func applyDocument(state *State, decoded api.DecodedDocument, now time.Time) Effects {
 	document := decoded.Document
-	if decoded.RefusalReason != "" {
-		return applyRefusedDocument(state, decoded)
+	if isUnused(decoded) {
+		return applyUnusedDocument(state, decoded, now)
 	}
 	inForce := state.DocumentsInForce[document.Key]
 	isNewer := document.Precedence().After(inForce.Document.Precedence())
@@ -23,7 +23,7 @@
 		raiseConfigurationVersion(state, document.Version())
 	}
 	if document.Version().After(state.RefusedDocuments[document.Key].Document.Version()) {
-		delete(state.RefusedDocuments, document.Key)
+		deleteUnused(state, document.Key)
 	}
 	if isNewer {
 		return putInForce(state, decoded, now)
@@ -45,11 +45,17 @@
 		document = decoded.Document
 	}
 	decoded.Instances = newerInstances(previous.Instances, decoded.Instances)
+	isOfNoUse := isUnnamed(state, decoded) && (previous.Document.Key == "" || previous.Document.IsDeleted || isUnnamed(state, previous)) ||
+		document.IsDeleted && (previous.Document.Key == "" || isUnnamed(state, previous))
 	state.DocumentsInForce[document.Key] = decoded
+	recordRemoval(state, document, now)
 	if !state.PendingDocuments[document.Key].Decoded.Document.Precedence().After(document.Precedence()) {
 		delete(state.PendingDocuments, document.Key)
 	}
 	effects := documentChanged(document)
+	if isOfNoUse {
+		effects = unusedChanged(state, document)
+	}
 	isSuperseded := stated.Decoded.Document.Version().After(document.Version())
 	switch {
 	case isSuperseded:
@@ -108,18 +114,16 @@
 	return next
 }
 
-// applyRefusedDocument records an invalid document if the store stated it after all that
-// is known of its key.
-func applyRefusedDocument(state *State, decoded api.DecodedDocument) Effects {
-	document := decoded.Document
-	if !document.Version().After(statedVersion(state, document.Key)) {
+// applyUnusedDocument records an invalid or ignored document if the store stated it after
+// all that is known of its key.
+func applyUnusedDocument(state *State, decoded api.DecodedDocument, now time.Time) Effects {
+	if !decoded.Document.Version().After(statedVersion(state, decoded.Document.Key)) {
 		return Effects{}
 	}
-	state.RefusedDocuments[document.Key] = decoded
-	return documentChanged(document)
+	return recordUnused(state, decoded, now)
 }
 
-// documentChanged returns the effects of a new document, in force or refused.
+// documentChanged returns the effects of a new document in force.
 func documentChanged(document api.Document) Effects {
 	return Effects{RebuildConfiguration: true, Gossip: api.Gossip{Keys: []api.KeyRevision{document.KeyRevision()}}}
 }
--- a/internal/command/control/documentorders_test.go
+++ b/internal/command/control/documentorders_test.go
@@ -67,7 +67,7 @@
 	for _, status := range sender.KeyStatuses {
 		for _, document := range sender.DocumentsLacked(status.Key, receiver.HeldVersions(status.Key)) {
 			orderfleet.sentCount++
-			orderfleet.apply(to, message.DocumentReceived{Decoded: orderDecode(document)})
+			orderfleet.apply(to, message.DocumentReceived{Decoded: api.Decode(document, orderDecode)})
 		}
 	}
 	orderfleet.apply(to, message.ConfigurationReceived{Version: sender.ConfigurationVersion})
--- a/internal/command/control/effects.go
+++ b/internal/command/control/effects.go
@@ -7,6 +7,9 @@
 	// RebuildConfiguration asks for a new View without delay, with the shards,
 	// scopes and routes rebuilt from the documents.
 	RebuildConfiguration bool
+	// RebuildDocuments asks for a new View with the documents that are known. It may be
+	// delayed, because nothing in use has changed.
+	RebuildDocuments bool
 	// RebuildRoles asks for a new View without delay, with the neighbours and
 	// readers chosen again from the members.
 	RebuildRoles bool
@@ -15,6 +18,8 @@
 	PublishStats bool
 	// Gossip holds the changes to send to the neighbours.
 	Gossip api.Gossip
+	// DelayedKeys holds the documents to send to the neighbours once a View has them.
+	DelayedKeys []api.KeyRevision
 	// BeginRefresh asks for one refresh: a full update of the state from a peer.
 	// Traffic waits until it is complete, at most view.MaxRefreshWait.
 	BeginRefresh bool
@@ -37,6 +42,8 @@
 	effects.RebuildRoles = effects.RebuildRoles || other.RebuildRoles
 	effects.PublishStats = effects.PublishStats || other.PublishStats
 	effects.RebuildConfiguration = effects.RebuildConfiguration || other.RebuildConfiguration
+	effects.RebuildDocuments = effects.RebuildDocuments || other.RebuildDocuments
+	effects.DelayedKeys = append(effects.DelayedKeys, other.DelayedKeys...)
 	effects.BeginRefresh = effects.BeginRefresh || other.BeginRefresh
 	effects.EndRefresh = effects.EndRefresh || other.EndRefresh
 	effects.IsEraRaised = effects.IsEraRaised || other.IsEraRaised
--- a/internal/command/control/pending.go
+++ b/internal/command/control/pending.go
@@ -25,16 +25,19 @@
 // receiveDocument applies a document, or holds it back if its key may be written
 // again.
 func receiveDocument(state *State, received message.DocumentReceived, now time.Time) Effects {
-	decoded := received.Decoded
+	decoded := received.Decoded.WithoutUnusedValue()
 	key := decoded.Document.Key
 	effects := learnEra(state, decoded.Document.Era, now)
+	if isDropped(state, received, decoded, now) {
+		return effects
+	}
 	inForce, isKnown := state.DocumentsInForce[key]
 	isNewEra := isKnown && decoded.Document.Era > inForce.Document.Era
 	switch {
 	case received.IsFromPlatform && decoded.Document.IsDeleted:
 		effects.merge(receiveRemoval(state, inForce, decoded, false, now))
 	case !received.IsFromPlatform && isUnlisted(state, decoded.Document):
-		effects.merge(receiveRemoval(state, decoded, inferredDeletion(key, state.ListedVersion), true, now))
+		effects.merge(receiveRemoval(state, decoded, inferredDeletion(key, listedVersion(state, key)), true, now))
 	case isRemovedProcess(inForce, decoded):
 		removal := inferredDeletion(key, decoded.Document.Version())
 		effects.merge(applyDocument(state, followingRemoval(removal, inForce.Document.Number), now))
--- a/internal/command/control/removal.go
+++ b/internal/command/control/removal.go
@@ -54,6 +54,10 @@
 	}
 	state.RemovalCounts[rule]++
 	effects.PublishStats = true
+	if isUnused(known) || known.Document.Key == "" {
+		// There may be many such removals, and none needs an explanation.
+		return effects
+	}
 	effects.Removals = append(effects.Removals, Removal{Document: deletion.Document, Rule: rule, IsInferred: isInferred})
 	return effects
 }
@@ -84,24 +88,52 @@
 	IsInferred bool
 }
 
-// applyListing records a listing of all documents, and removes those that it lacks. One
-// that is not older than the listing does not count as removed.
+// listedPages is what is known of a listing that is not complete yet: the store's content up
+// to the key through.
+type listedPages struct {
+	version api.Version
+	through string
+}
+
+// applyListing records a page of a listing of all documents, and removes those that it
+// lacks. One that is not older than the listing does not count as removed.
 func applyListing(state *State, received message.ListingReceived, now time.Time) Effects {
 	effects := learnEra(state, received.Version.Era, now)
 	if !received.Version.After(state.ListedVersion) {
 		return effects
 	}
 	effects.RebuildConfiguration = effects.RebuildConfiguration || received.Version.Era > state.ListedVersion.Era
-	state.ListedVersion = received.Version
+	recordListed(state, received)
 	for key, decoded := range statedDocuments(state) {
+		isOnPage := key > received.After && (received.Through == "" || key <= received.Through)
 		isRemoved := decoded.Document.IsDeleted || received.Keys[key]
-		if !isRemoved && received.Version.After(knownVersion(state, key)) {
+		if isOnPage && !isRemoved && received.Version.After(knownVersion(state, key)) {
 			effects.merge(receiveRemoval(state, decoded, inferredDeletion(key, received.Version), true, now))
 		}
 	}
 	return effects
 }
 
+// recordListed records which keys the listing covers so far.
+func recordListed(state *State, received message.ListingReceived) {
+	if !received.IsPart {
+		state.ListedVersion, state.listedPages = received.Version, listedPages{}
+		return
+	}
+	isContinued := received.Version == state.listedPages.version && received.After == state.listedPages.through
+	if received.After == "" || isContinued {
+		state.listedPages = listedPages{version: received.Version, through: received.Through}
+	}
+}
+
+// listedVersion returns the version of the latest listing that covers key.
+func listedVersion(state *State, key string) api.Version {
+	if key <= state.listedPages.through {
+		return api.Latest(state.ListedVersion, state.listedPages.version)
+	}
+	return state.ListedVersion
+}
+
 // statedDocuments returns the documents that a listing can lack: of each key the one in
 // force, or else the superseded or refused one.
 func statedDocuments(state *State) map[string]api.DecodedDocument {
@@ -122,7 +154,8 @@
 // The removal is not among the changes since the listing.
 func isUnlisted(state *State, document api.Document) bool {
 	key := document.Key
-	return !document.IsDeleted && isNewest(state, document) && !isStatedInEra(state, key, state.ListedVersion.Era) && state.ListedVersion.After(document.Version())
+	listed := listedVersion(state, key)
+	return !document.IsDeleted && isNewest(state, document) && !isStatedInEra(state, key, listed.Era) && listed.After(document.Version())
 }
 
 // isNewest reports whether document is newer than the one of its key in force and than a
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -68,9 +68,11 @@
 	// SupersededDocuments holds, by key, the latest valid document that the store stated,
 	// if it stated that after the one in force, which has a higher number.
 	SupersededDocuments map[string]SupersededDocument
-	// RefusedDocuments holds, by key, the latest invalid document that the store stated
-	// after all valid ones.
+	// RefusedDocuments holds, by key, the latest invalid or ignored document that the store
+	// stated after all valid ones, without its value.
 	RefusedDocuments map[string]api.DecodedDocument
+	// retention is what is known of the documents that are of no use.
+	retention retention
 	// Members holds all known instances by name, including this one.
 	Members map[string]Member
 	// PendingDocuments holds, by key, the documents that are not applied yet because
@@ -99,6 +101,8 @@
 	// ListedVersion is the version of the latest listing of all documents that this
 	// instance has read. An older document that it lacked has been removed.
 	ListedVersion api.Version
+	// listedPages is what is known of a later listing that is not complete.
+	listedPages listedPages
 	// RemovalCounts counts the decisions about removals.
 	RemovalCounts map[view.RemovalRule]int64
 	// StaleAnswers counts the platform's answers with an outdated version.
@@ -124,6 +128,7 @@
 	// configuration and roles are reused by later Views until Build is asked to
 	// rebuild them.
 	configuration configuration
+	documents     documents
 	roles         roles
 	// sortedDocuments holds the documents in force that are not deletions,
 	// sorted by key, as of the last rebuild of the configuration.
@@ -150,20 +155,28 @@
 // leaving replicas and the snapshot reports of replicas.
 type configuration struct {
 	listedInstances  []api.Instance
-	documentsInForce map[string]api.Document
-	refusedDocuments map[string]api.Document
-
-	supersededDocuments map[string]api.Document
-	supersededKeys      []view.SupersededKey
-
 	indexes          map[string]view.Index
 	scopes           map[string]view.Scope
 	routes           view.Routes
 	limits           api.CallerLimits
-	keyStatuses      []view.KeyStatus
-	digest           uint64
 	evacuatedDomains []string
 	leavingReplicas  []view.Timestamped[api.LeavingReplica]
+	// upstreamNames holds the names of the configured upstreams.
+	upstreamNames map[string]bool
+}
+
+// documents is the part of a View that states which documents are known.
+type documents struct {
+	documentsInForce map[string]api.Document
+	refusedDocuments map[string]api.Document
+
+	supersededDocuments map[string]api.Document
+	supersededKeys      []view.SupersededKey
+
+	keyStatuses []view.KeyStatus
+	unusedKeys  view.UnusedKeys
+	removedAt   map[string]time.Time
+	digest      uint64
 }
 
 // roles is the part of a View that is derived from the membership.
@@ -199,6 +212,7 @@
 
 		DocumentsInForce: make(map[string]api.DecodedDocument),
 		RefusedDocuments: make(map[string]api.DecodedDocument),
+		retention:        newRetention(),
 		Members:          map[string]Member{self.Instance.Name: {Member: self, LearnedAt: now}},
 		PendingDocuments: make(map[string]PendingDocument),
 
@@ -337,6 +351,7 @@
 	effects.merge(applyDueDocuments(state, now))
 	effects.merge(applyObservedLeaving(state, now))
 	effects.merge(deleteExpired(state, now))
+	effects.merge(forgetRemovals(state, now))
 	return effects
 }
 
@@ -379,16 +394,26 @@
 		}
 	}
 	for leavingreplica, learnedAt := range state.LeavingReplicas {
-		replica := state.Replicas[leavingreplica.Replica]
-		isPublished := replica != nil && replica.Instance.Incarnation == leavingreplica.Incarnation
-		if !isPublished && now.Sub(learnedAt) > leavingRetention {
+		if !isPublished(state, leavingreplica) && now.Sub(learnedAt) > leavingRetention {
 			delete(state.LeavingReplicas, leavingreplica)
 			effects.RebuildConfiguration = true
 		}
 	}
+	if deleteOldest(state.LeavingReplicas, maxLeavingReplicas, func(leavingreplica api.LeavingReplica) bool { return isPublished(state, leavingreplica) }) > 0 {
+		effects.RebuildConfiguration = true
+	}
+	if deleteOldest(state.StoppedHomes, maxStoppedHomes, func(api.StoppedHome) bool { return false }) > 0 {
+		effects.RebuildRoles = true
+	}
 	return effects
 }
 
+// isPublished reports whether the incarnation of the replica is published.
+func isPublished(state *State, leavingreplica api.LeavingReplica) bool {
+	replica := state.Replicas[leavingreplica.Replica]
+	return replica != nil && replica.Instance.Incarnation == leavingreplica.Incarnation
+}
+
 // SetPeerAddress sets the address to which peers connect. It must be called
 // before Control is started.
 func (state *State) SetPeerAddress(address string, now time.Time) {
--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -42,11 +42,13 @@
 // Store is the platform's configuration service at one address.
 type Store interface {
 	// Changes returns the documents that are newer than the revision after, or
-	// all documents if after is 0. It waits for a change for at most wait.
+	// the first page of all documents if after is 0. It waits for a change for at most wait.
 	// knownVersion returns the version that the reader holds of a key, or the zero
 	// Version. If the store does not have the changes since after, the error is
 	// api.ErrHistoryGone. Beside an error, the result has the era of the answer.
 	Changes(ctx context.Context, after uint64, wait time.Duration, knownVersion func(key string) api.Version) (api.Changes, error)
+	// NextPage returns the page of a listing of all documents that follows the key after.
+	NextPage(ctx context.Context, after string) (api.Changes, error)
 	// Peer returns the store's address.
 	Peer() string
 }
@@ -69,6 +71,12 @@
 	// version is the version up to which all changes were read. Its revision is 0
 	// before the first listing of its era, and after the service lost its history.
 	version api.Version
+	// listing is the listing of which some pages were read; nil if there is none.
+	listing *listing
+	// listingNumber is the View's ListingNumber at the last listing.
+	listingNumber uint64
+	// unreadableLoggedAt is when unreadable entries were last logged.
+	unreadableLoggedAt time.Time
 	// backoff is the longest wait after the next call that fails.
 	backoff time.Duration
 	// isFailing is set if the latest call failed.
@@ -121,20 +129,26 @@
 
 // readChanges calls the store in use once, which waits for changes, and sends the
 // changed documents to control. If the store lost its history, or is in a higher era
-// than the changes read so far, the next call reads all documents. An answer older
-// than what this instance knows is a StaleError.
+// than the changes read so far, the next call reads all documents, page by page. A page that
+// fails is read again. An answer older than what this instance knows is a StaleError.
 func (reader *Reader[S]) readChanges(ctx context.Context) error {
-	store := reader.stores[reader.storeIndex]
 	current := reader.currentView.Load()
 	reader.observeEra(current.Era)
+	if current.ListingNumber > reader.listingNumber {
+		reader.logger.Info("upstreams were configured whose entries were not kept; reading all documents again", zap.Uint64("revision", reader.version.Revision))
+		reader.listingNumber, reader.version.Revision = current.ListingNumber, 0
+	}
 	isListing := reader.version.Revision == 0
-	changes, err := store.Changes(ctx, reader.version.Revision, reader.maxWait(), current.KnownVersion)
+	changes, err := reader.call(ctx, current)
 	isNewEra := reader.observeEra(changes.Era)
 	if errors.Is(err, api.ErrHistoryGone) {
 		reader.logger.Info("history is gone; reading all documents again", zap.Uint64("revision", reader.version.Revision))
 		reader.version.Revision = 0
 		return nil
 	}
+	if errors.Is(err, api.ErrRestored) {
+		reader.listing = nil
+	}
 	if errors.Is(err, api.ErrUnreadable) {
 		// The changes since reader.version may never become readable.
 		reader.version.Revision = 0
@@ -146,29 +160,51 @@
 		// The changes follow a revision of an earlier era.
 		return nil
 	}
-	if changes.UnreadableCount > 0 {
-		reader.logger.Warn("entries of the platform cannot be decoded", zap.Int("count", changes.UnreadableCount), zap.Uint64("revision", changes.Revision))
-	}
-	// Peers may have learned of a higher era during the call.
-	knownEra := api.Version{Era: reader.currentView.Load().Era}
-	if known := api.Latest(reader.version, newestVersion(current), knownEra); known.After(changes.Version()) {
-		return reader.rejectStale(ctx, changes.Version(), known)
+	reader.logUnreadable(changes)
+	if err := reader.checkVersion(ctx, current, changes.Version()); err != nil {
+		return err
 	}
 	if err := reader.mailbox.Send(ctx, message.PlatformAnswered{AnsweredAt: time.Now(), Era: changes.Era, IsAfterFailure: reader.isFailing}); err != nil {
 		return err
 	}
-	if isListing && changes.Era > 0 {
-		// The store may hold less than peers, whose documents without numbers are not
-		// taken after those of a listing in a later era.
-		reader.awaitPeers(ctx)
+	if isListing {
+		return reader.receivePage(ctx, changes)
 	}
-	if err := reader.sendDocuments(ctx, changes); err != nil {
-		return err
+	return reader.receiveChanges(ctx, current, changes)
+}
+
+// call requests the next page of a listing, or the changes since the last call.
+func (reader *Reader[S]) call(ctx context.Context, current *view.View) (api.Changes, error) {
+	store := reader.stores[reader.storeIndex]
+	if reader.listing != nil {
+		return readPage(ctx, store, reader.listing)
 	}
-	if isListing {
-		reader.awaitPeers(ctx)
+	return store.Changes(ctx, reader.version.Revision, reader.maxWait(), current.KnownVersion)
+}
+
+// checkVersion returns an error if an answer is older than what this instance knows. A
+// later page of a listing must not be older than the first one.
+func (reader *Reader[S]) checkVersion(ctx context.Context, current *view.View, version api.Version) error {
+	if reader.listing != nil {
+		if known := reader.listing.version; known.After(version) {
+			return reader.rejectStale(ctx, version, known)
+		}
+		return nil
+	}
+	// Peers may have learned of a higher era during the call.
+	knownEra := api.Version{Era: reader.currentView.Load().Era}
+	if known := api.Latest(reader.version, newestVersion(current), knownEra); known.After(version) {
+		return reader.rejectStale(ctx, version, known)
+	}
+	return nil
+}
+
+// receiveChanges sends control the documents that have changed.
+func (reader *Reader[S]) receiveChanges(ctx context.Context, current *view.View, changes api.Changes) error {
+	if err := reader.sendDocuments(ctx, changes.Documents); err != nil {
+		return err
 	}
-	if isListing || !current.ConfigurationLackedSince.IsZero() {
+	if !current.ConfigurationLackedSince.IsZero() {
 		if err := reader.mailbox.Send(ctx, message.ConfigurationReceived{Version: changes.Version(), NotBefore: reader.configuredFrom(changes.Era)}); err != nil {
 			return err
 		}
@@ -180,6 +216,61 @@
 	return nil
 }
 
+// receivePage sends control the documents of a page, and what control can infer from the
+// keys that the page lacks. After the last page, the instance has the whole configuration.
+func (reader *Reader[S]) receivePage(ctx context.Context, changes api.Changes) error {
+	if reader.listing == nil {
+		if changes.Era > 0 {
+			// The store may hold less than peers, whose documents without numbers are not
+			// taken after those of a listing in a later era.
+			reader.awaitPeers(ctx)
+		}
+		reader.listing = &listing{version: changes.Version()}
+	}
+	listing := reader.listing
+	if err := reader.sendDocuments(ctx, changes.Documents); err != nil {
+		return err
+	}
+	listing.isIncomplete = listing.isIncomplete || !changes.IsComplete
+	if changes.IsComplete {
+		received := message.ListingReceived{Version: listing.version, Keys: make(map[string]bool, len(changes.Documents)), After: listing.next, Through: changes.Next}
+		received.IsPart = changes.Next != "" || listing.isIncomplete
+		for _, document := range changes.Documents {
+			received.Keys[document.Key] = true
+		}
+		if err := reader.mailbox.Send(ctx, received); err != nil {
+			return err
+		}
+	}
+	if changes.Next != "" {
+		listing.next = changes.Next
+		return nil
+	}
+	reader.listing = nil
+	reader.awaitPeers(ctx)
+	if err := reader.mailbox.Send(ctx, message.ConfigurationReceived{Version: listing.version, NotBefore: reader.configuredFrom(listing.version.Era)}); err != nil {
+		return err
+	}
+	reader.version = listing.version
+	if len(changes.Documents) > 0 || listing.version.Revision == 0 {
+		sleep(ctx, batchDelay)
+	}
+	return nil
+}
+
+// unreadableLogInterval is the least time between two lines about unreadable entries.
+const unreadableLogInterval = 10 * time.Second
+
+// logUnreadable logs that entries cannot be decoded. Such entries may be stated again with
+// each answer.
+func (reader *Reader[S]) logUnreadable(changes api.Changes) {
+	if changes.UnreadableCount == 0 || time.Since(reader.unreadableLoggedAt) < unreadableLogInterval {
+		return
+	}
+	reader.unreadableLoggedAt = time.Now()
+	reader.logger.Warn("entries of the platform cannot be decoded", zap.Int("count", changes.UnreadableCount), zap.Uint64("revision", changes.Revision))
+}
+
 // configuredFrom returns from when on this instance serves by what it has read, without
 // a peer. A store that states an era may have been restored from a copy, so that only
 // peers know what callers have seen.
@@ -219,37 +310,23 @@
 		reader.logger.Warn("store was restored from a copy; reading all documents again",
 			zap.Uint64("era", era), zap.Uint64("previousEra", reader.version.Era), zap.Uint64("previousRevision", reader.version.Revision))
 	}
-	reader.version = api.Version{Era: era}
+	reader.version, reader.listing = api.Version{Era: era}, nil
 	return true
 }
 
-// sendDocuments sends control the documents that changed, and the keys of a complete
-// listing, from which control infers removals.
-func (reader *Reader[S]) sendDocuments(ctx context.Context, changes api.Changes) error {
+// sendDocuments sends control the documents that it does not know.
+func (reader *Reader[S]) sendDocuments(ctx context.Context, documents []api.Document) error {
 	current := reader.currentView.Load()
-	listing := message.ListingReceived{Version: changes.Version(), Keys: make(map[string]bool)}
-	for _, document := range changes.Documents {
-		listing.Keys[document.Key] = true
-		if err := reader.sendDocument(ctx, current, document); err != nil {
+	for _, document := range documents {
+		if !document.Version().After(current.KnownVersion(document.Key)) {
+			continue
+		}
+		decoded := api.Decode(document, reader.ParseDocument).WithoutUnusedValue()
+		if err := reader.mailbox.Send(ctx, message.DocumentReceived{Decoded: decoded, IsFromPlatform: true}); err != nil {
 			return err
 		}
 	}
-	if !changes.IsComplete {
-		return nil
-	}
-	return reader.mailbox.Send(ctx, listing)
-}
-
-// sendDocument sends control a document, unless current shows that control knows it.
-func (reader *Reader[S]) sendDocument(ctx context.Context, current *view.View, document api.Document) error {
-	if !document.Version().After(current.KnownVersion(document.Key)) {
-		return nil
-	}
-	received := message.DocumentReceived{Decoded: reader.ParseDocument(document), IsFromPlatform: true}
-	if ignored := received.Decoded.IgnoredReason; ignored != "" {
-		reader.logger.Info("document names nothing to use", zap.String("key", document.Key), zap.Uint64("revision", document.Revision), zap.String("reason", ignored))
-	}
-	return reader.mailbox.Send(ctx, received)
+	return nil
 }
 
 // newestVersion returns the newest version that this instance holds, from the platform
--- a/internal/command/platform/reader_test.go
+++ b/internal/command/platform/reader_test.go
@@ -59,6 +59,11 @@
 	return next.changes, next.err
 }
 
+// NextPage is not called: the answers hold whole listings.
+func (scriptedstore *scriptedStore) NextPage(context.Context, string) (api.Changes, error) {
+	return api.Changes{}, errors.New("no further page")
+}
+
 func document(key string, revision uint64) api.Document {
 	return api.Document{Key: key, Revision: revision}
 }
--- a/internal/process/instance/adapter.go
+++ b/internal/process/instance/adapter.go
@@ -66,15 +66,19 @@
 	client := &http.Client{}
 	var stores []wire.PlatformClient
 	for _, address := range settings.PlatformAddresses {
-		stores = append(stores, wire.PlatformClient{Address: address, Client: client, MaxBytes: settings.Process.PlatformMemory()})
+		stores = append(stores, wire.PlatformClient{Address: address, Client: client, MaxBytes: settings.Process.PlatformMemory(), Reduce: withoutUnusedValue})
 	}
 	platform.NewReader(stores, toml.Parse, settings.Reading, control, logger).Start(ctx)
 }
 
+// withoutUnusedValue returns document without its value if it cannot be used.
+func withoutUnusedValue(document api.Document) api.Document {
+	return toml.Parse(document).WithoutUnusedValue().Document
+}
+
 // listDocuments returns all documents of the configuration service at address.
 func listDocuments(ctx context.Context, address string) (api.Changes, error) {
-	client := wire.PlatformClient{Address: address, Client: &http.Client{}}
-	return client.Changes(ctx, 0, 0, func(string) api.Version { return api.Version{} })
+	return platform.List(ctx, wire.PlatformClient{Address: address, Client: &http.Client{}})
 }
 
 // newLocatorHandler returns a handler that answers with the addresses for the
--- a/internal/query/operator/operator.go
+++ b/internal/query/operator/operator.go
@@ -55,9 +55,11 @@
 	// Superseded describes the keys of which the store states an older document than the
 	// one in force.
 	Superseded []SupersededStatus `json:"superseded,omitempty"`
-	Keys       []view.KeyStatus   `json:"keys"`
-	Members    []MemberStatus     `json:"members"`
-	Indexes    []IndexStatus      `json:"indexes"`
+	// Unused describes the documents of the platform that are of no use.
+	Unused  *UnusedStatus    `json:"unused,omitempty"`
+	Keys    []view.KeyStatus `json:"keys"`
+	Members []MemberStatus   `json:"members"`
+	Indexes []IndexStatus    `json:"indexes"`
 	// LeavingReplicas names the replicas that are known to be draining.
 	LeavingReplicas []string `json:"leavingReplicas,omitempty"`
 	// EvacuatedDomains names the failure domains whose replicas are not used.
@@ -75,6 +77,25 @@
 	Remedy    string `json:"remedy"`
 }
 
+// maxUnusedKeys is the number of keys in an UnusedStatus.
+const maxUnusedKeys = 64
+
+// UnusedStatus describes the documents of the platform that are of no use.
+type UnusedStatus struct {
+	// RefusedCount is the number of invalid documents, IgnoredCount that of documents under
+	// keys that are not used, and Bytes the sum of their lengths.
+	RefusedCount int   `json:"refused"`
+	IgnoredCount int   `json:"ignored"`
+	Bytes        int64 `json:"bytes"`
+	// UnnamedCount is the number of valid entries of instances whose upstream is not
+	// configured.
+	UnnamedCount int `json:"unnamed"`
+	// OmittedCount counts the documents that are not kept because there are too many.
+	OmittedCount int64 `json:"omitted,omitempty"`
+	// Keys holds the largest of the refused and ignored documents, at most maxUnusedKeys.
+	Keys []view.UnusedKey `json:"keys"`
+}
+
 // PacedReplica is a replica that is cold or whose use is limited by its pace.
 type PacedReplica struct {
 	Name string `json:"name"`
@@ -171,9 +192,25 @@
 	status.HeldBackRemovals = current.HeldBackRemovals
 	status.Superseded = supersededStatuses(current.SupersededKeys, now)
 	status.PacedReplicas = pacedReplicas(current, view.MonotonicNow())
+	status.Unused = unusedStatus(current.UnusedKeys)
 	return status
 }
 
+// unusedStatus returns the status of the documents of no use, or nil if there are none.
+func unusedStatus(unused view.UnusedKeys) *UnusedStatus {
+	if len(unused.Keys) == 0 && unused.UnnamedCount == 0 && unused.OmittedCount == 0 {
+		return nil
+	}
+	return &UnusedStatus{
+		RefusedCount: unused.Count(view.UnusedRefused),
+		IgnoredCount: unused.Count(view.UnusedIgnored),
+		Bytes:        unused.Bytes,
+		UnnamedCount: unused.UnnamedCount,
+		OmittedCount: unused.OmittedCount,
+		Keys:         unused.Keys[:min(len(unused.Keys), maxUnusedKeys)],
+	}
+}
+
 func supersededStatuses(keys []view.SupersededKey, now time.Time) []SupersededStatus {
 	var statuses []SupersededStatus
 	for _, supersededkey := range keys {
@@ -237,6 +274,8 @@
 	// Superseded describes the configurations of which the store states an older one than
 	// that from which this follows.
 	Superseded []SupersededStatus `json:"superseded,omitempty"`
+	// Refused describes the refused documents whose valid predecessors are in force.
+	Refused []view.UnusedKey `json:"refused,omitempty"`
 }
 
 // ShardExplanation is a covered shard and the names of its replicas.
@@ -283,6 +322,11 @@
 
 		Superseded: supersededStatuses(current.SupersededConfigurations(), time.Now()),
 	}
+	for _, unusedkey := range current.UnusedKeys.Keys {
+		if unusedkey.RevisionInForce > 0 && len(explanation.Refused) < maxUnusedKeys {
+			explanation.Refused = append(explanation.Refused, unusedkey)
+		}
+	}
 	heldBack := make(map[string]bool)
 	for _, removal := range current.HeldBackRemovals {
 		for _, replica := range removal.Replicas {
--- a/internal/state/api/document.go
+++ b/internal/state/api/document.go
@@ -37,6 +37,11 @@
 	// Number is the writer's number. It is read from Value; that of a removal is the
 	// highest number of what it removed.
 	Number Number `cbor:"7,keyasint,omitzero" json:"-"`
+	// Refusal replaces Value in a document that cannot be used.
+	Refusal *Refusal `cbor:"8,keyasint,omitempty" json:"refusal,omitempty"`
+	// AgeSeconds is how long ago the sender learned of a removal. It makes all instances
+	// forget the removal at about the same time.
+	AgeSeconds uint32 `cbor:"9,keyasint,omitempty" json:"-"`
 }
 
 // Version returns the document's version in the store.
@@ -51,7 +56,7 @@
 
 // KeyRevision returns the statement that the document is known.
 func (document Document) KeyRevision() KeyRevision {
-	return KeyRevision{Key: document.Key, Era: document.Era, Revision: document.Revision, IsDeleted: document.IsDeleted, Number: document.Number}
+	return KeyRevision{Key: document.Key, Era: document.Era, Revision: document.Revision, IsDeleted: document.IsDeleted, Number: document.Number, Refusal: document.Refusal}
 }
 
 // DecodedDocument is a document with its decoded value. Unless the document is
@@ -84,6 +89,8 @@
 	Era uint64 `cbor:"4,keyasint,omitempty" json:"era,omitempty"`
 	// Number is that of the document; zero if it has none or the sender states none.
 	Number Number `cbor:"5,keyasint,omitzero" json:"-"`
+	// Refusal is that of the document. The receiver then need not read the document.
+	Refusal *Refusal `cbor:"6,keyasint,omitempty" json:"-"`
 }
 
 // Version returns the version of the key in the store.
@@ -125,12 +132,15 @@
 	// Revision is the store's revision at the time of the answer.
 	Revision  uint64
 	Documents []Document
-	// IsComplete is set if Documents holds every key, so that a key that it does
-	// not hold has been deleted.
+	// IsComplete is set if Documents holds every key of the page, so that a key that it
+	// does not hold has been deleted.
 	IsComplete bool
 	// UnreadableCount is the number of entries that could not be decoded and are not
 	// in Documents.
 	UnreadableCount int
+	// Next is the key after which a listing goes on; empty if there is no further page.
+	// Documents then holds the keys up to Next.
+	Next string
 }
 
 // Version returns the store's version at the time of the answer.
--- a/internal/state/message/message.go
+++ b/internal/state/message/message.go
@@ -18,13 +18,18 @@
 	IsFromPlatform bool
 }
 
-// ListingReceived reports that every document of a listing of all documents has been
-// sent as DocumentReceived.
+// ListingReceived reports that every document of a page of a listing of all documents has
+// been sent as DocumentReceived.
 type ListingReceived struct {
-	// Version is the store's version at the time of the listing.
+	// Version is the store's version at the time of the first page.
 	Version api.Version
-	// Keys holds the keys of the listing.
-	Keys map[string]bool
+	// Keys holds the keys of the page: all that the store has after the key After, up to
+	// the key Through, or to the end if Through is empty.
+	Keys           map[string]bool
+	After, Through string
+	// IsPart is set if the page does not complete the listing, because pages follow or
+	// because others could not be decoded.
+	IsPart bool
 }
 
 // ConfigurationReceived reports that every document which the platform, or a
--- a/internal/state/view/heldversions.go
+++ b/internal/state/view/heldversions.go
@@ -40,8 +40,17 @@
 	if document, isKnown := view.SupersededDocuments[key]; isKnown && document.Version().After(api.Latest(held.InForce.Stored, held.Superseded)) {
 		lacked = append(lacked, document)
 	}
-	if document, isKnown := view.RefusedDocuments[key]; isKnown && document.Version().After(held.Refused) {
+	if document, isKnown := view.RefusedDocuments[key]; isKnown && document.Version().After(held.unused(document)) {
 		lacked = append(lacked, document)
 	}
 	return lacked
 }
+
+// unused returns the version of the document that a holder has in place of document, which
+// is refused or ignored. Instances of earlier versions hold ignored documents in force.
+func (heldversions HeldVersions) unused(document api.Document) api.Version {
+	if document.Refusal != nil && document.Refusal.IsIgnored {
+		return api.Latest(heldversions.InForce.Stored, heldversions.Refused)
+	}
+	return heldversions.Refused
+}
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -32,11 +32,18 @@
 	Limits      api.CallerLimits
 	Replicas    map[string]*Replica
 	KeyStatuses []KeyStatus
+	// UnusedKeys describes the documents that are of no use.
+	UnusedKeys UnusedKeys
+	// RemovedAt holds when this instance learned of each removal in DocumentsInForce.
+	RemovedAt map[string]time.Time
+	// ListingNumber rises when the platform has to be listed again.
+	ListingNumber uint64
 	// ListedInstances holds the system's own instances as the platform lists
 	// them.
 	ListedInstances []api.Instance
 	// DocumentsInForce and RefusedDocuments hold the documents as they were
-	// received, by key.
+	// received, by key. Those of RefusedDocuments, which are invalid or ignored, have a
+	// Refusal in place of the value.
 	DocumentsInForce map[string]api.Document
 	RefusedDocuments map[string]api.Document
 	// SupersededDocuments holds, by key, what the store states although a document with
--- a/internal/wire/http/platform.go
+++ b/internal/wire/http/platform.go
@@ -1,12 +1,15 @@
 package http
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,9 +61,12 @@
 	// Address is the host and port of the service.
 	Address string
 	Client  *http.Client
-	// MaxBytes bounds the list of keys of one answer and, together, the documents read
-	// after it; 0 means maxListingBytes for the list and no bound for the documents.
+	// MaxBytes bounds the list of keys of one answer. The documents that are read after it
+	// exceed MaxBytes by one at most. 0 means maxListingBytes for the list and no bound for
+	// the documents.
 	MaxBytes int64
+	// Reduce may drop the value of a document that cannot be used; nil keeps all values.
+	Reduce func(document api.Document) api.Document
 }
 
 // Peer returns the service's address.
@@ -68,16 +74,54 @@
 
 // Changes returns the documents that are newer than revision after, and waits up
 // to wait until there is one. It skips documents whose listed version is not
-// after the one that knownVersion returns for their key. The error is
+// after the one that knownVersion returns for their key. If the documents exceed
+// MaxBytes, it returns those of the lowest revisions, and the others with the next call; if
+// after is 0, those of the first keys, and the others with NextPage. The error is
 // api.ErrHistoryGone for status 410, and of type *PlatformError otherwise.
 func (platformclient PlatformClient) Changes(ctx context.Context, after uint64, wait time.Duration, knownVersion func(key string) api.Version) (api.Changes, error) {
+	if after == 0 {
+		return platformclient.page(ctx, "", knownVersion)
+	}
 	listing, err := platformclient.Watch(ctx, after, wait)
 	if err != nil {
 		return api.Changes{Era: listing.Era}, err
 	}
+	slices.SortFunc(listing.Keys, func(a, b api.KeyRevision) int { return cmp.Compare(a.Revision, b.Revision) })
+	changes, last, err := platformclient.readListed(ctx, listing, knownVersion)
+	if err == nil && last < len(listing.Keys)-1 {
+		changes.Revision = min(changes.Revision, listing.Keys[last].Revision)
+	}
+	return changes, err
+}
+
+// NextPage returns the documents of a listing of all documents whose keys follow after.
+func (platformclient PlatformClient) NextPage(ctx context.Context, after string) (api.Changes, error) {
+	return platformclient.page(ctx, after, func(string) api.Version { return api.Version{} })
+}
+
+// page lists all keys and reads the documents of those that follow after, as far as they
+// do not exceed MaxBytes.
+func (platformclient PlatformClient) page(ctx context.Context, after string, knownVersion func(key string) api.Version) (api.Changes, error) {
+	listing, err := platformclient.Watch(ctx, 0, 0)
+	if err != nil {
+		return api.Changes{Era: listing.Era}, err
+	}
+	listing.Keys = slices.DeleteFunc(listing.Keys, func(key api.KeyRevision) bool { return key.Key <= after })
+	slices.SortFunc(listing.Keys, func(a, b api.KeyRevision) int { return strings.Compare(a.Key, b.Key) })
+	changes, last, err := platformclient.readListed(ctx, listing, knownVersion)
+	if err == nil && last < len(listing.Keys)-1 {
+		changes.Next = listing.Keys[last].Key
+	}
+	return changes, err
+}
+
+// readListed reads the documents of the listed keys in their order, as far as they do not
+// exceed MaxBytes but at least one. It also returns the index of the last key that was
+// read or skipped.
+func (platformclient PlatformClient) readListed(ctx context.Context, listing api.Listing, knownVersion func(key string) api.Version) (api.Changes, int, error) {
 	changes := api.Changes{Era: listing.Era, Revision: listing.Revision}
 	documentBytes := int64(0)
-	for _, key := range listing.Keys {
+	for index, key := range listing.Keys {
 		key.Era = listing.Era
 		if !key.Version().After(knownVersion(key.Key)) {
 			continue
@@ -87,20 +131,23 @@
 			err = &PlatformError{Step: "read", Peer: platformclient.Address, Cause: errors.WithStack(api.ErrRestored)}
 		}
 		if err != nil {
-			return api.Changes{Era: document.Era}, err
+			return api.Changes{Era: document.Era}, index, err
 		}
 		if document.Revision < key.Revision {
 			// The read returned an older revision than the listing, so the
 			// result is only as recent as that document.
 			changes.Revision = min(changes.Revision, document.Revision)
 		}
+		if platformclient.Reduce != nil {
+			document = platformclient.Reduce(document)
+		}
+		changes.Documents = append(changes.Documents, document)
 		documentBytes += int64(len(document.Value))
 		if platformclient.MaxBytes > 0 && documentBytes > platformclient.MaxBytes {
-			return api.Changes{Era: document.Era}, &PlatformError{Step: "read", Peer: platformclient.Address, Cause: errors.Errorf("documents of over %d bytes", platformclient.MaxBytes)}
+			return changes, index, nil
 		}
-		changes.Documents = append(changes.Documents, document)
 	}
-	return changes, nil
+	return changes, len(listing.Keys) - 1, nil
 }
 
 // Watch lists the keys that changed after revision after, and waits up to wait
