command/peer: replies of bounded length; documents without use have no content there

Cause: a reply to a sync held all that the asking instance lacked, refused documents with their content among it. 30 MB exceed what a reader takes (16 MB), so that it asked again several times a second, and each peer built and encoded all of it each time.

Now a reply holds documents of 1 MB together, or one; its Next tells where the next one goes on, and an earlier version asks again by what it holds. Reads of announced documents go on in the same way. A refused or ignored document is sent as its key, version, length and reason; an announcement of one is taken without a read. Gossip has at most 1,024 keys a message. Compressed documents are deleted with their keys.

The fault does not need odd entries: 30 valid documents of 1 MB were never transferred.

--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -25,6 +25,10 @@
 		if !current.HeldVersions(keyrevision.Key).Lacks(keyrevision) || gossip.From == "" {
 			continue
 		}
+		if keyrevision.Refusal != nil {
+			peers.receiveRefused(ctx, keyrevision)
+			continue
+		}
 		if pendingread := peers.beginRead(keyrevision, gossip.From); pendingread != nil {
 			documentreader.keys = append(documentreader.keys, keyrevision.Key)
 			documentreader.pendingReads = append(documentreader.pendingReads, pendingread)
@@ -36,6 +40,13 @@
 	}
 }
 
+// receiveRefused sends control a document that cannot be used, and whose content is
+// therefore not read.
+func (peers *Peers) receiveRefused(ctx context.Context, keyrevision api.KeyRevision) {
+	document := api.Document{Key: keyrevision.Key, Era: keyrevision.Era, Revision: keyrevision.Revision, Refusal: keyrevision.Refusal}
+	_ = peers.mailbox.Send(ctx, message.DocumentReceived{Decoded: api.Decode(document, peers.parseDocument)})
+}
+
 // pendingRead is the read of one document from a peer.
 type pendingRead struct {
 	// version is the version that was announced.
@@ -104,13 +115,27 @@
 	}
 }
 
-// read reads the documents from the peer at address.
+// read reads the documents from the peer at address, with several calls if one reply has no
+// room for all.
 func (documentreader *documentReader) read(address string) error {
-	reply, err := documentreader.peers.call(address, api.PeerRequest{ReadKeys: documentreader.keys})
-	if err != nil {
-		return err
+	keys := documentreader.keys
+	for len(keys) > 0 {
+		reply, err := documentreader.peers.call(address, api.PeerRequest{ReadKeys: keys})
+		if err != nil {
+			return err
+		}
+		documentreader.peers.receiveDocuments(documentreader.peers.ctx, reply.Documents)
+		received := make(map[string]bool, len(reply.Documents))
+		for _, document := range reply.Documents {
+			received[document.Key] = true
+		}
+		left := slices.DeleteFunc(slices.Clone(keys), func(key string) bool { return received[key] })
+		if len(left) == len(keys) {
+			// The peer no longer has the others.
+			return nil
+		}
+		keys = left
 	}
-	documentreader.peers.receiveDocuments(documentreader.peers.ctx, reply.Documents)
 	return nil
 }
 
@@ -137,21 +162,64 @@
 			isComplete = false
 			continue
 		}
-		err = peers.mailbox.Send(ctx, message.DocumentReceived{Decoded: peers.parseDocument(decompressed)})
+		decoded := api.Decode(decompressed, peers.parseDocument).WithoutUnusedValue()
+		err = peers.mailbox.Send(ctx, message.DocumentReceived{Decoded: decoded})
 		isComplete = isComplete && err == nil
 	}
 	return isComplete
 }
 
-// readDocuments returns the documents that are known for keys, in the form in
-// which they are sent to peers.
+// Bounds of the documents in one reply to a peer. One document is sent even if it exceeds
+// maxReplyBytes, so that each exchange gets further.
+const (
+	// maxReplyBytes is the length of the documents together. The smallest instance can read
+	// a reply of this length beside others.
+	maxReplyBytes = 1 << 20
+	// documentOverheadBytes is the length of an encoded document without its value.
+	documentOverheadBytes = 64
+)
+
+// documentBatch collects the documents of one reply.
+type documentBatch struct {
+	peers     *Peers
+	current   *view.View
+	documents []api.Document
+	bytes     int
+}
+
+// add adds the documents of one key, in the form in which they are sent to peers. It
+// reports false if the reply has no room for them.
+func (documentbatch *documentBatch) add(lacked []api.Document) bool {
+	now := time.Now()
+	length := 0
+	lacked = documentbatch.peers.compressDocuments(lacked)
+	for index, document := range lacked {
+		if removedAt, isRemoved := documentbatch.current.RemovedAt[document.Key]; isRemoved && document.IsDeleted {
+			lacked[index].AgeSeconds = ageSeconds(removedAt, now)
+		}
+		length += documentOverheadBytes + len(document.Key) + len(document.Value) + len(document.Compressed)
+		if document.Refusal != nil {
+			length += len(document.Refusal.Reason)
+		}
+	}
+	if len(documentbatch.documents) > 0 && documentbatch.bytes+length > maxReplyBytes {
+		return false
+	}
+	documentbatch.documents = append(documentbatch.documents, lacked...)
+	documentbatch.bytes += length
+	return true
+}
+
+// readDocuments returns the documents that are known for keys, as far as the reply has room
+// for them, in the form in which they are sent to peers.
 func (peers *Peers) readDocuments(keys []string) []api.Document {
-	current := peers.currentView.Load()
-	var documents []api.Document
+	batch := documentBatch{peers: peers, current: peers.currentView.Load()}
 	for _, key := range keys {
-		documents = append(documents, current.DocumentsLacked(key, view.HeldVersions{})...)
+		if !batch.add(batch.current.DocumentsLacked(key, view.HeldVersions{})) {
+			break
+		}
 	}
-	return peers.compressDocuments(documents)
+	return batch.documents
 }
 
 // compressDocuments replaces the long documents by their compressed form, in
@@ -181,6 +249,21 @@
 	return documents
 }
 
+// deleteCompressed deletes the compressed documents of keys that are no longer known.
+func (peers *Peers) deleteCompressed() {
+	current := peers.currentView.Load()
+	peers.compressedDocuments.Range(func(key, stored any) bool {
+		held := current.HeldVersions(key.(string))
+		isHeld := func(document api.Document) bool {
+			return document.Version() == held.InForce.Stored || document.Version() == held.Superseded
+		}
+		if !slices.ContainsFunc(stored.([]api.Document), isHeld) {
+			peers.compressedDocuments.Delete(key)
+		}
+		return true
+	})
+}
+
 // answerSync sends the requesting peer to control as a member. It returns all
 // members, leaving replicas and stopped homes, and the documents that the peer
 // lacks. An instance that is not configured syncs with the peer in turn.
@@ -209,10 +292,20 @@
 		timestamped.Value.AgeSeconds = ageSeconds(timestamped.LearnedAt, now)
 		reply.StoppedHomes = append(reply.StoppedHomes, timestamped.Value)
 	}
+	batch := documentBatch{peers: peers, current: current}
+	last := request.After
 	for _, status := range current.KeyStatuses {
-		reply.Documents = append(reply.Documents, current.DocumentsLacked(status.Key, held[status.Key])...)
+		if status.Key <= request.After {
+			continue
+		}
+		if !batch.add(current.DocumentsLacked(status.Key, held[status.Key])) {
+			// An instance of an earlier version, too, must not take these for all documents.
+			reply.Next, reply.IsConfigured = last, false
+			break
+		}
+		last = status.Key
 	}
-	reply.Documents = peers.compressDocuments(reply.Documents)
+	reply.Documents = batch.documents
 	for name, member := range current.Members {
 		if endedAt, isEnded := current.EndedAt[name]; isEnded {
 			member.AgeSeconds = ageSeconds(endedAt, now)
@@ -247,39 +340,63 @@
 }
 
 // Sync asks the peer at address for everything that this instance lacks, and sends
-// the answer to control. It returns an error if the call fails.
+// the answer to control. It asks again while a reply leaves documents out. It returns an
+// error if a call fails.
 func (peers *Peers) Sync(ctx context.Context, address string) error {
-	current := peers.currentView.Load()
+	request := syncRequest(peers.currentView.Load())
+	for {
+		reply, err := peers.endpoint.Call(ctx, address, api.PeerRequest{Sync: request})
+		if err != nil || reply.Sync == nil {
+			return err
+		}
+		if err := peers.receiveSync(ctx, reply.Sync); err != nil {
+			return err
+		}
+		if reply.Sync.Next <= request.After {
+			return nil
+		}
+		request.After = reply.Sync.Next
+	}
+}
+
+// syncRequest returns the statement of what an instance with the View holds.
+func syncRequest(current *view.View) *api.SyncRequest {
 	request := &api.SyncRequest{From: current.Self}
 	for _, document := range current.DocumentsInForce {
 		request.RevisionsInForce = append(request.RevisionsInForce, document.KeyRevision())
 	}
 	for _, document := range current.RefusedDocuments {
-		request.RefusedRevisions = append(request.RefusedRevisions, document.KeyRevision())
+		keyrevision := document.KeyRevision()
+		keyrevision.Refusal = nil
+		if document.Refusal != nil && document.Refusal.IsIgnored {
+			// Instances of earlier versions count it as in force.
+			request.RevisionsInForce = append(request.RevisionsInForce, keyrevision)
+			continue
+		}
+		request.RefusedRevisions = append(request.RefusedRevisions, keyrevision)
 	}
 	for _, document := range current.SupersededDocuments {
 		request.SupersededRevisions = append(request.SupersededRevisions, document.KeyRevision())
 	}
-	reply, err := peers.endpoint.Call(ctx, address, api.PeerRequest{Sync: request})
-	if err != nil {
-		return err
-	}
-	if reply.Sync == nil {
-		return nil
-	}
+	return request
+}
+
+// receiveSync sends control what a reply to a sync holds. After the last of several
+// replies, this instance has all that the peer has.
+func (peers *Peers) receiveSync(ctx context.Context, reply *api.SyncReply) error {
 	// Control decides by these times about documents that the store no longer has.
-	if err := peers.mailbox.Send(ctx, platformMessage(reply.Sync.Platform, time.Now())); err != nil {
+	if err := peers.mailbox.Send(ctx, platformMessage(reply.Platform, time.Now())); err != nil {
 		return err
 	}
-	isComplete := peers.receiveDocuments(ctx, reply.Sync.Documents)
-	if isComplete && reply.Sync.IsConfigured {
-		version := api.Version{Era: reply.Sync.ConfigurationEra, Revision: reply.Sync.ConfigurationRevision}
+	isComplete := peers.receiveDocuments(ctx, reply.Documents)
+	if isComplete && reply.IsConfigured && reply.Next == "" {
+		version := api.Version{Era: reply.ConfigurationEra, Revision: reply.ConfigurationRevision}
 		if err := peers.mailbox.Send(ctx, message.ConfigurationReceived{Version: version}); err != nil {
 			return err
 		}
 	}
-	gossip := api.Gossip{Members: reply.Sync.Members, LeavingReplicas: reply.Sync.LeavingReplicas, StoppedHomes: reply.Sync.StoppedHomes}
-	if err := peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip}); err != nil || !reply.Sync.IsSettled {
+	gossip := api.Gossip{Members: reply.Members, LeavingReplicas: reply.LeavingReplicas, StoppedHomes: reply.StoppedHomes}
+	if err := peers.mailbox.Send(ctx, message.GossipReceived{Gossip: gossip}); err != nil || !reply.IsSettled {
 		return err
 	}
 	return peers.mailbox.Send(ctx, message.MembersReceived{})
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -193,8 +193,22 @@
 	}
 }
 
-// sendToNeighbours sends gossip to every neighbour that gets it, without waiting for replies.
+// maxGossipKeys is the number of keys in one gossip message, which its receiver can hold
+// beside others.
+const maxGossipKeys = 1_024
+
+// sendToNeighbours sends gossip to every neighbour that gets it, without waiting for replies,
+// in several messages if it announces many keys.
 func (peers *Peers) sendToNeighbours(gossip api.Gossip) {
+	for len(gossip.Keys) > maxGossipKeys {
+		peers.sendMessage(api.Gossip{Keys: gossip.Keys[:maxGossipKeys]})
+		gossip.Keys = gossip.Keys[maxGossipKeys:]
+	}
+	peers.sendMessage(gossip)
+}
+
+// sendMessage sends one gossip message to every neighbour that gets it.
+func (peers *Peers) sendMessage(gossip api.Gossip) {
 	current := peers.currentView.Load()
 	gossip.From = current.Self.Instance.PeerAddress
 	for _, member := range peers.reachable(current, current.GossipNeighbours) {
--- a/internal/command/peer/prober.go
+++ b/internal/command/peer/prober.go
@@ -50,6 +50,7 @@
 	deleteOlder(&prober.peers.syncTimes, maxTimeAge)
 	deleteOlder(&prober.peers.differingSince, maxTimeAge)
 	prober.peers.deleteOldReads()
+	prober.peers.deleteCompressed()
 	for _, member := range members {
 		if prober.peers.hasRecentContact(member.Instance.Name) {
 			continue
--- a/internal/state/api/peer.go
+++ b/internal/state/api/peer.go
@@ -141,6 +141,9 @@
 	// SupersededRevisions holds the versions of what the store states although the
 	// sender uses a newer document.
 	SupersededRevisions []KeyRevision `cbor:"4,keyasint,omitempty"`
+	// After asks for documents whose keys follow it only. A reply may not hold all that the
+	// sender lacks.
+	After string `cbor:"5,keyasint,omitempty"`
 }
 
 // SyncReply holds the state that the sender of a SyncRequest does not have.
@@ -160,6 +163,9 @@
 	ConfigurationRevision uint64 `cbor:"8,keyasint,omitempty"`
 	// Platform tells how old a removal may be that the requesting instance has missed.
 	Platform PlatformTimes `cbor:"9,keyasint,omitzero"`
+	// Next is set if documents are left out for which the reply has no room: the requesting
+	// instance lacks some whose keys follow Next.
+	Next string `cbor:"10,keyasint,omitempty"`
 }
 
 // KeyedResult is the outcome of a command with an idempotency key, as its home
