state/metrics and others: what is kept by name is bounded

Cause: each route name that was ever used kept a histogram of 21 KB and its counters for the life of the process. 10,000 names exceed 136 MB.

Now 256 labels have counters and a histogram; the one that was used longest ago gives way once it was idle for a minute, and until then further ones are counted as "other".

--- a/internal/command/caller/handover.go
+++ b/internal/command/caller/handover.go
@@ -70,9 +70,8 @@
 	if !isComplete {
 		return
 	}
-	home.mutex.Lock()
-	defer home.mutex.Unlock()
-	home.inheritedIncarnations[handover.Home] = handover.Incarnation
+	// Without an entry, keys of the home that were not used are answered as unknown.
+	_, _, _ = home.inheritedHomes.GetOrAdd(inheritedHome{name: handover.Home, incarnation: handover.Incarnation}, struct{}{}, handover.ExpiresAt, now)
 }
 
 // closedChannel is the done channel of commands that ended at another home.
@@ -89,11 +88,9 @@
 	if entry, isKnown := home.inheritedCommands.Get(command.Key); isKnown {
 		return awaitOutcome(context.Background(), entry, commandDigest(command))
 	}
-	home.mutex.Lock()
-	incarnation, isInherited := home.inheritedIncarnations[key.Home]
-	home.mutex.Unlock()
+	_, isInherited := home.inheritedHomes.Get(inheritedHome{name: key.Home, incarnation: key.Incarnation})
 	isExpired := time.Now().After(key.ExpiresAt())
-	if isInherited && incarnation == key.Incarnation && !isExpired {
+	if isInherited && !isExpired {
 		return notRunResult("the key's home stopped before it was used; take a new key")
 	}
 	return unknownResult("the key's home is gone; an earlier request with it may have run")
--- a/internal/command/caller/home.go
+++ b/internal/command/caller/home.go
@@ -38,7 +38,7 @@
 	// inheritedCommands holds the ended commands of homes that stopped, by key.
 	inheritedCommands *table.Table[string, *commandEntry]
 
-	// mutex guards isClosed and inheritedIncarnations. add also holds it while it
+	// mutex guards isClosed. add also holds it while it
 	// adds to runningCommands, so that none is added once the home is closed.
 	mutex sync.Mutex
 	// isClosed is set during a planned stop, when keys that were not used yet are
@@ -46,11 +46,20 @@
 	isClosed bool
 	// runningCommands counts the commands that have no outcome yet.
 	runningCommands sync.WaitGroup
-	// inheritedIncarnations holds, by the name of a stopped home, the incarnation
-	// whose outcomes are all in inheritedCommands.
-	inheritedIncarnations map[string]uint64
+	// inheritedHomes holds the homes that stopped and whose outcomes are all in
+	// inheritedCommands, until all of their keys have expired.
+	inheritedHomes *table.Table[inheritedHome, struct{}]
 }
 
+// inheritedHome names one incarnation of a home that stopped.
+type inheritedHome struct {
+	name        string
+	incarnation uint64
+}
+
+// maxInheritedHomes is the number of stopped homes that are known.
+const maxInheritedHomes = 4_096
+
 // commandEntry is a command that was started with a key.
 type commandEntry struct {
 	// digest identifies the command, so that a key is not used for another one.
@@ -64,12 +73,12 @@
 // system gives no random bytes for the key secret.
 func NewHome(self api.Member, settings settings.Callers, sendCommand func(context.Context, api.Command) api.Result) (*Home, error) {
 	home := &Home{
-		self:                  self,
-		settings:              settings,
-		sendCommand:           sendCommand,
-		commands:              table.New[string, *commandEntry](settings.MaxKeys),
-		inheritedCommands:     table.New[string, *commandEntry](settings.MaxKeys),
-		inheritedIncarnations: make(map[string]uint64),
+		self:              self,
+		settings:          settings,
+		sendCommand:       sendCommand,
+		commands:          table.New[string, *commandEntry](settings.MaxKeys),
+		inheritedCommands: table.New[string, *commandEntry](settings.MaxKeys),
+		inheritedHomes:    table.New[inheritedHome, struct{}](maxInheritedHomes),
 	}
 	_, err := rand.Read(home.secret[:])
 	return home, errors.Wrap(err, "generate key secret")
--- a/internal/command/control/retention.go
+++ b/internal/command/control/retention.go
@@ -28,9 +28,10 @@
 	// and removalRetention is for how long. A removal must outlast a partition.
 	maxRemovals      = 8_192
 	removalRetention = 24 * time.Hour
-	// maxLeavingReplicas and maxStoppedHomes bound what is kept for leavingRetention and
-	// memberRetention.
+	// maxLeavingReplicas, maxEndedMembers and maxStoppedHomes bound what is kept for
+	// leavingRetention and memberRetention.
 	maxLeavingReplicas = 8_192
+	maxEndedMembers    = 4_096
 	maxStoppedHomes    = 4_096
 	// maxUnbuiltChanges is the number of documents that may be added before the bounds are
 	// enforced by building a View.
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mimosaspring/mimosaspring/internal/schedule/peer"
@@ -387,6 +388,9 @@
 			effects.RebuildRoles = true
 		}
 	}
+	if deleteEndedMembers(state) > 0 {
+		effects.RebuildRoles = true
+	}
 	for stoppedhome, learnedAt := range state.StoppedHomes {
 		if now.Sub(learnedAt) > memberRetention {
 			delete(state.StoppedHomes, stoppedhome)
@@ -408,6 +412,23 @@
 	return effects
 }
 
+// deleteEndedMembers deletes those of more than maxEndedMembers members that failed or left
+// first, and returns how many it deleted.
+func deleteEndedMembers(state *State) int {
+	if len(state.Members) <= maxEndedMembers {
+		return 0
+	}
+	ended := endedMembers(state.Members)
+	kept := maps.Clone(ended)
+	deletedCount := deleteOldest(kept, maxEndedMembers, func(string) bool { return false })
+	for name := range ended {
+		if _, isKept := kept[name]; !isKept {
+			delete(state.Members, name)
+		}
+	}
+	return deletedCount
+}
+
 // isPublished reports whether the incarnation of the replica is published.
 func isPublished(state *State, leavingreplica api.LeavingReplica) bool {
 	replica := state.Replicas[leavingreplica.Replica]
--- a/internal/command/peer/peers.go
+++ b/internal/command/peer/peers.go
@@ -139,6 +139,19 @@
 // Handshakes returns how many connections this instance has opened to peers.
 func (peers *Peers) Handshakes() int64 { return peers.endpoint.Handshakes.Load() }
 
+// Connections returns the number of connections to peers that are kept.
+func (peers *Peers) Connections() int { return peers.endpoint.Connections() }
+
+// CompressedKeys returns the number of keys whose documents are kept in compressed form.
+func (peers *Peers) CompressedKeys() int {
+	count := 0
+	peers.compressedDocuments.Range(func(any, any) bool {
+		count++
+		return true
+	})
+	return count
+}
+
 // Start serves peers, probes neighbours, sends queued gossip and looks for
 // instances to join, until ctx ends.
 func (peers *Peers) Start(ctx context.Context, handlers Handlers) {
--- a/internal/process/instance/gauges.go
+++ b/internal/process/instance/gauges.go
@@ -14,7 +14,11 @@
 		"platform.unusedBytes":              func(current *view.View) int64 { return current.UnusedKeys.Bytes },
 		"platform.unnamedEntries":           func(current *view.View) int64 { return int64(current.UnusedKeys.UnnamedCount) },
 		"platform.omittedDocuments":         func(current *view.View) int64 { return current.UnusedKeys.OmittedCount },
-		"removals.kept":                     func(current *view.View) int64 { return int64(len(current.RemovedAt)) },
+		"kept.documents":                    func(current *view.View) int64 { return int64(len(current.KeyStatuses)) },
+		"kept.removals":                     func(current *view.View) int64 { return int64(len(current.RemovedAt)) },
+		"kept.leavingReplicas":              func(current *view.View) int64 { return int64(len(current.LeavingReplicas)) },
+		"kept.stoppedHomes":                 func(current *view.View) int64 { return int64(len(current.StoppedHomes)) },
+		"kept.members":                      func(current *view.View) int64 { return int64(len(current.Members)) },
 		"removals.applied":                  func(current *view.View) int64 { return current.RemovalCounts[view.RemovalApplied] },
 		"removals.heldBack":                 func(current *view.View) int64 { return current.RemovalCounts[view.RemovalHeldBack] },
 		"removals.lostByStore":              func(current *view.View) int64 { return current.RemovalCounts[view.RemovalLost] },
@@ -26,6 +30,10 @@
 		instance.metrics.Gauge(name, func() int64 { return valueOf(instance.View()) })
 	}
 	instance.metrics.Gauge("retries.slackPerMillion", func() int64 { return int64(1e6 * instance.slackShare()) })
+	instance.metrics.Gauge("kept.labels", func() int64 { return int64(instance.metrics.Labels()) })
+	instance.metrics.Gauge("kept.budgetWindows", func() int64 { return int64(instance.budget.Upstreams()) })
+	instance.metrics.Gauge("kept.peerConnections", func() int64 { return int64(instance.peers.Connections()) })
+	instance.metrics.Gauge("kept.compressedKeys", func() int64 { return int64(instance.peers.CompressedKeys()) })
 	replicaGauges := map[string]func(replica *view.Replica) int64{
 		"replicas.cold":       func(replica *view.Replica) int64 { return boolCount(replica.Stats.IsCold(view.MonotonicNow())) },
 		"replicas.paced":      func(replica *view.Replica) int64 { return boolCount(replica.Stats.Pace().IsActive()) },
--- a/internal/query/caller/handler.go
+++ b/internal/query/caller/handler.go
@@ -85,7 +85,7 @@
 	}
 	admissionrequest := AdmissionRequest{Scope: request.Scope, Selection: request.Selection, Deadline: request.Deadline}
 	if refusal := handler.Admission.Admit(admissionrequest); refusal != nil {
-		handler.Metrics.Add("queries.refused."+request.Scope.Class, 1)
+		handler.Metrics.AddLabelled("queries.refused.", request.Scope.Class, 1)
 		return api.Answer{Outcome: api.OutcomeNotRun, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
 	}
 	return handler.Run(ctx, request)
--- a/internal/query/caller/rankadmission.go
+++ b/internal/query/caller/rankadmission.go
@@ -9,6 +9,7 @@
 
 	schedule "github.com/mimosaspring/mimosaspring/internal/schedule/caller"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/recent"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -33,9 +34,13 @@
 	mutex sync.Mutex
 	// limits holds the rank limits by index, because queries of one index compete
 	// for the same replicas.
-	limits map[string]L
+	limits *recent.Latest[string, L]
 }
 
+// maxLimited is the number of indexes, or of scopes and kinds, whose limits are kept. The
+// one that was queried longest ago gives way to another.
+const maxLimited = 1_024
+
 // RankAdmission has one limit for the queries of all priorities.
 type RankAdmission = LimitedAdmission[*schedule.SharedLimit]
 
@@ -54,7 +59,7 @@
 }
 
 func newLimitedAdmission[L schedule.RankLimits](newLimits func() L) *LimitedAdmission[L] {
-	return &LimitedAdmission[L]{newLimits: newLimits, limits: make(map[string]L)}
+	return &LimitedAdmission[L]{newLimits: newLimits, limits: recent.New[string, L](maxLimited)}
 }
 
 // Admit admits a query if its rank is within the limit of its index and priority.
@@ -88,10 +93,10 @@
 
 // indexLimits returns the limits of an index. The caller holds mutex.
 func (limitedadmission *LimitedAdmission[L]) indexLimits(index string) L {
-	limits, isKnown := limitedadmission.limits[index]
+	limits, isKnown := limitedadmission.limits.Get(index)
 	if !isKnown {
 		limits = limitedadmission.newLimits()
-		limitedadmission.limits[index] = limits
+		limitedadmission.limits.Put(index, limits)
 	}
 	return limits
 }
--- a/internal/query/caller/ratelimited.go
+++ b/internal/query/caller/ratelimited.go
@@ -1,10 +1,12 @@
 package caller
 
 import (
+	"maps"
 	"math"
 	"sync"
 	"time"
 
+	"github.com/mimosaspring/mimosaspring/internal/state/recent"
 	"github.com/mimosaspring/mimosaspring/internal/state/view"
 )
 
@@ -49,15 +51,17 @@
 	// mutex guards the maps and the limiters.
 	mutex sync.Mutex
 	// limiters holds the rate limiters by scope and kind.
-	limiters map[string]*limiter
-	// lastQueryAt holds the time of the last query of each priority, since
+	limiters *recent.Latest[string, *limiter]
+	// lastQueryAt holds the time of the last query of each active priority, since
 	// view.MonotonicOrigin.
 	lastQueryAt map[int]time.Duration
+	// keptPriorities is the length of lastQueryAt after the last deletion.
+	keptPriorities int
 }
 
 // NewRateLimitedAdmission returns an admission without any limits yet.
 func NewRateLimitedAdmission() *RateLimitedAdmission {
-	return &RateLimitedAdmission{limiters: make(map[string]*limiter), lastQueryAt: make(map[int]time.Duration)}
+	return &RateLimitedAdmission{limiters: recent.New[string, *limiter](maxLimited), lastQueryAt: make(map[int]time.Duration)}
 }
 
 // Admit admits a query if the rate limit of its scope and kind allows it.
@@ -65,12 +69,13 @@
 	ratelimitedadmission.mutex.Lock()
 	defer ratelimitedadmission.mutex.Unlock()
 	key := request.Scope.Name + "/" + request.Selection.Kind
-	scopeLimiter := ratelimitedadmission.limiters[key]
+	scopeLimiter, isKnown := ratelimitedadmission.limiters.Get(key)
 	now := view.MonotonicNow()
 	ratelimitedadmission.lastQueryAt[request.Scope.Priority] = now
-	if scopeLimiter == nil {
+	if !isKnown {
 		scopeLimiter = &limiter{rate: math.Inf(1), refilledAt: now, adjustedAt: now}
-		ratelimitedadmission.limiters[key] = scopeLimiter
+		ratelimitedadmission.limiters.Put(key, scopeLimiter)
+		ratelimitedadmission.deleteInactive(now)
 	}
 	if now-scopeLimiter.adjustedAt >= adjustInterval {
 		scopeLimiter.adjust(now, Utilization(request.Selection, now), ratelimitedadmission.targetUtilization(request.Scope.Priority, now))
@@ -81,6 +86,20 @@
 	return &Refusal{Reason: "the replicas of scope " + request.Scope.Name + " are at their load", RetryAfter: scopeLimiter.retryAfter()}
 }
 
+// minPriorities is the number of priorities from which on inactive ones are deleted.
+const minPriorities = 64
+
+// deleteInactive deletes the priorities that are not active, if their number has doubled
+// since it last did so. The caller holds mutex.
+func (ratelimitedadmission *RateLimitedAdmission) deleteInactive(now time.Duration) {
+	lastQueryAt := ratelimitedadmission.lastQueryAt
+	if len(lastQueryAt) < max(2*ratelimitedadmission.keptPriorities, minPriorities) {
+		return
+	}
+	maps.DeleteFunc(lastQueryAt, func(_ int, queriedAt time.Duration) bool { return now-queriedAt > activeTime })
+	ratelimitedadmission.keptPriorities = len(lastQueryAt)
+}
+
 // Observe does nothing: the rate limits follow from the replicas' load.
 func (*RateLimitedAdmission) Observe(AdmissionRequest, bool) {}
 
--- a/internal/query/caller/relay.go
+++ b/internal/query/caller/relay.go
@@ -131,7 +131,7 @@
 
 // refuse returns the answer to a call that was refused before anything was sent.
 func (relay *Relay[A]) refuse(call view.Call, refusal Refusal) api.Answer {
-	relay.Metrics.Add("queries.refused."+call.Scope.Scope.Class, 1)
+	relay.Metrics.AddLabelled("queries.refused.", call.Scope.Scope.Class, 1)
 	call.Trace.Add(trace.RequestRefused, "", "", refusal.Reason)
 	return api.Answer{Outcome: api.OutcomeNotRun, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter, IsProvenNotRun: true}
 }
--- a/internal/query/peer/homerouter.go
+++ b/internal/query/peer/homerouter.go
@@ -68,12 +68,24 @@
 		select {
 		case <-ticker.C:
 			homerouter.connectHomes(ctx)
+			homerouter.deleteBreakers()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// deleteBreakers deletes the breakers of peers that are no longer members.
+func (homerouter *HomeRouter) deleteBreakers() {
+	current := homerouter.CurrentView.Load()
+	homerouter.breakers.Range(func(name, _ any) bool {
+		if _, isMember := current.Members[name.(string)]; !isMember {
+			homerouter.breakers.Delete(name)
+		}
+		return true
+	})
+}
+
 // connectHomes opens a connection to the first home of every shard in the first of
 // the preferred failure domains that has homes of the shard.
 func (homerouter *HomeRouter) connectHomes(ctx context.Context) {
@@ -199,6 +211,16 @@
 	return err
 }
 
+// Breakers returns the number of peers that have failed and are still members.
+func (homerouter *HomeRouter) Breakers() int {
+	count := 0
+	homerouter.breakers.Range(func(any, any) bool {
+		count++
+		return true
+	})
+	return count
+}
+
 // closeBreaker allows all queries to the named peer.
 func (homerouter *HomeRouter) closeBreaker(name string) {
 	if value, isKnown := homerouter.breakers.Load(name); isKnown {
--- a/internal/query/upstream/attempt.go
+++ b/internal/query/upstream/attempt.go
@@ -92,7 +92,7 @@
 		return
 	}
 	request := attempt.shardQuery.pass.request
-	attempt.shardQuery.pass.fanout.Metrics.Add("attempts.queued.priority"+strconv.Itoa(request.Scope.Priority), 1)
+	attempt.shardQuery.pass.fanout.Metrics.AddLabelled("attempts.queued.priority", strconv.Itoa(request.Scope.Priority), 1)
 	detail := fmt.Sprintf("%s behind %d, priority %d", run.QueuedFor.Round(time.Millisecond), run.QueuedBehind, request.Scope.Priority)
 	attempt.shardQuery.addTrace(trace.AttemptQueued, attempt.replica.Instance.Name, detail)
 }
--- a/internal/state/budget/budget.go
+++ b/internal/state/budget/budget.go
@@ -3,6 +3,7 @@
 package budget
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -37,6 +38,8 @@
 	// mutex guards upstreams and the windows in it.
 	mutex     sync.Mutex
 	upstreams map[string]*window
+	// keptWindows is the number of windows after the last deletion of idle ones.
+	keptWindows int
 }
 
 // window counts the requests to one upstream in a ring of buckets.
@@ -93,6 +96,13 @@
 	return true
 }
 
+// Upstreams returns the number of upstreams whose requests are counted.
+func (budget *Budget) Upstreams() int {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	return len(budget.upstreams)
+}
+
 // share returns how many extra requests this instance may send within the window.
 func (budget *Budget) share(window *window) float64 {
 	return budget.limits.Ratio*float64(window.firstRequests()) + budget.limits.Slack*budget.slackShare()
@@ -105,6 +115,7 @@
 	bucket := int(budget.now() / bucketLength)
 	entry := budget.upstreams[upstream]
 	if entry == nil {
+		budget.deleteIdle(bucket - size)
 		entry = &window{latestBucket: bucket, firstCounts: make([]int, size), extraCounts: make([]int, size)}
 		budget.upstreams[upstream] = entry
 	}
@@ -116,6 +127,20 @@
 	return entry
 }
 
+// minWindows is the number of windows from which on those of upstreams without requests
+// are deleted.
+const minWindows = 64
+
+// deleteIdle deletes the windows whose newest bucket is older than oldest, if the number of
+// windows has doubled since it last did so. The caller holds mutex.
+func (budget *Budget) deleteIdle(oldest int) {
+	if len(budget.upstreams) < max(2*budget.keptWindows, minWindows) {
+		return
+	}
+	maps.DeleteFunc(budget.upstreams, func(_ string, window *window) bool { return window.latestBucket < oldest })
+	budget.keptWindows = len(budget.upstreams)
+}
+
 // firstRequests returns the number of first requests within the window. It
 // leaves out the oldest bucket, which lies only partly within the window.
 func (window *window) firstRequests() int {
--- a/internal/state/metrics/metrics_test.go
+++ b/internal/state/metrics/metrics_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -48,3 +49,36 @@
 	allocated := (after.TotalAlloc - before.TotalAlloc) / labels
 	assert.Assert(t, allocated <= maxBytesPerLabel, "%d bytes a label", allocated)
 }
+
+// TestLabels checks which labels have counters and a histogram: those in use keep theirs, and
+// further ones are counted together until another one was not used for a minute.
+func TestLabels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		observed := metrics.New()
+		observe := func(from, to int) {
+			for number := from; number < to; number++ {
+				observed.ObserveRequest(fmt.Sprint("host.route-", number), "relayed", "done", time.Millisecond)
+			}
+		}
+		count := func(label string) string {
+			if value := observed.Vars.Get("requests.relayed." + label + ".done"); value != nil {
+				return value.String()
+			}
+			return ""
+		}
+		observe(0, 300)
+		assert.Equal(t, count("host.route-0"), "1")
+		assert.Equal(t, count("host.route-299"), "")
+		assert.Equal(t, count("other"), "44")
+		time.Sleep(2 * time.Minute)
+		observe(0, 100)
+		observe(299, 300)
+		assert.Equal(t, count("host.route-0"), "2")
+		assert.Equal(t, count("host.route-299"), "1")
+		assert.Equal(t, count("host.route-100"), "", "the label that was used longest ago gives way")
+		assert.Assert(t, observed.Vars.Get("latency.relayed.host.route-100") == nil)
+		observed.AddLabelled("queries.refused.", "class", 1)
+		assert.Equal(t, observed.Vars.Get("queries.refused.class").String(), "1")
+		assert.Assert(t, observed.Labels() <= 257)
+	})
+}
--- a/internal/wire/quic/endpoint.go
+++ b/internal/wire/quic/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
 	"os"
 	"sync"
@@ -160,6 +161,7 @@
 	if current := endpoint.connections[address]; current != nil && current.isOpening() {
 		return
 	}
+	endpoint.deleteBroken()
 	connection := &connection{done: make(chan struct{}), conn: conn}
 	close(connection.done)
 	endpoint.connections[address] = connection
@@ -182,6 +184,14 @@
 	return current != nil && !current.isOpening() && !current.isBroken()
 }
 
+// Connections returns the number of connections that messages to peers use, with those that
+// are being opened or have broken.
+func (endpoint *Endpoint) Connections() int {
+	endpoint.mutex.Lock()
+	defer endpoint.mutex.Unlock()
+	return len(endpoint.connections)
+}
+
 // startSession serves the peer's calls and datagrams on conn until it closes.
 func (endpoint *Endpoint) startSession(conn *quic.Conn) {
 	session := &session{endpoint: endpoint, conn: conn}
@@ -310,6 +320,7 @@
 	endpoint.mutex.Lock()
 	current := endpoint.connections[address]
 	if current == nil || current.isBroken() {
+		endpoint.deleteBroken()
 		current = &connection{done: make(chan struct{})}
 		endpoint.connections[address] = current
 		dialer := &dialer{endpoint: endpoint, address: address, connection: current}
@@ -324,6 +335,12 @@
 	}
 }
 
+// deleteBroken deletes the connections that have closed or could not be opened, of which
+// some are to peers that no longer exist. The caller holds mutex.
+func (endpoint *Endpoint) deleteBroken() {
+	maps.DeleteFunc(endpoint.connections, func(_ string, connection *connection) bool { return connection.isBroken() })
+}
+
 // isDone reports whether the attempt to open the connection has ended.
 func (connection *connection) isDone() bool {
 	select {
