schedule/peer, state/budget: a start leaves the retry budget to its predecessors

Cause: the budget counts in the memory of the process. Nobody else knows what an earlier process of the same name has spent; after a kill of all, nobody at all.

Until a whole window and the delay with which others learn of it have passed, a process now spends no slack, and of the ratio only what the safety factor leaves (0.15 of it, for its own first requests). Two related causes: the share of an instance that leaves went to the others while what it had spent was in the window; and an instance that found none of its seeds took the whole slack.

--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -120,7 +120,7 @@
 	instance.guard = schedulecaller.NewGuard("callers", CallerLimits(instance.settings), view.MonotonicNow, instance.metrics, instance.loggers.Part(log.PartCaller))
 	instance.nativeLinks = &wire.Links[*wire.Link]{Open: wire.LinkOpener(instance.guard)}
 	instance.relayLinks = &wire.Links[*wire.RelayLink]{Open: wire.RelayLinkOpener(instance.adapter.RelayHeaders, wire.WithOrder(instance.newOrder), wire.WithReplyMemory(instance.guard))}
-	instance.budget = budget.New(retryLimits(settings.Retries), instance.memberCount, view.MonotonicNow, budget.WithSlackShare(instance.slackShare))
+	instance.budget = budget.New(retryLimits(settings.Retries), instance.memberCount, view.MonotonicNow, budget.WithSlackShare(instance.slackShare), budget.WithRecentStart(instance.hasRecentlyStarted))
 	if err := instance.listen(); err != nil {
 		instance.close()
 		return nil, err
@@ -351,17 +351,16 @@
 	return !instance.isStopping.Load() && current.UnreadyReason() == "" && current.Routes != nil
 }
 
-// memberCount returns the number of instances that share the retry budget: all
-// known members, including failed ones, except those that left after a graceful
-// shutdown.
+// memberCount returns the number of instances that share the retry budget.
 func (instance *Instance) memberCount() int {
-	count := 0
-	for _, member := range instance.View().Members {
-		if member.State != api.MemberLeft {
-			count++
-		}
-	}
-	return count
+	current := instance.View()
+	return schedulepeer.SlackMemberCount(current.Members, current.EndedAt, time.Now(), instance.settings.Retries.Window.Duration)
+}
+
+// hasRecentlyStarted reports whether an earlier process may have spent this instance's
+// share of the retry budget.
+func (instance *Instance) hasRecentlyStarted() bool {
+	return schedulepeer.HasRecentlyStarted(instance.startedAt, time.Now(), instance.settings.Retries.Window.Duration)
 }
 
 // retryLimits returns the limits of the retry budget that the settings contain.
--- a/internal/process/instance/policies.go
+++ b/internal/process/instance/policies.go
@@ -11,6 +11,7 @@
 	"github.com/mimosaspring/mimosaspring/internal/query/peer"
 	"github.com/mimosaspring/mimosaspring/internal/query/upstream"
 	schedulecaller "github.com/mimosaspring/mimosaspring/internal/schedule/caller"
+	schedulepeer "github.com/mimosaspring/mimosaspring/internal/schedule/peer"
 	scheduleupstream "github.com/mimosaspring/mimosaspring/internal/schedule/upstream"
 	"github.com/mimosaspring/mimosaspring/internal/state/api"
 	"github.com/mimosaspring/mimosaspring/internal/state/choice"
@@ -156,8 +157,10 @@
 // slackShare returns this instance's share of the retry budget's slack.
 func (instance *Instance) slackShare() float64 {
 	current := instance.View()
-	if instance.settings.Schedule.SlackBySender && !current.IsSettled {
-		// Instances that start at once would each take the share of a small fleet.
+	isUnsettled := instance.settings.Schedule.SlackBySender && !current.IsSettled
+	if isUnsettled || instance.hasRecentlyStarted() || schedulepeer.IsUnmet(current.Members, instance.PeerAddress, instance.settings.Seeds) {
+		// Instances that start at once, or do not find each other, would each take the share
+		// of a small fleet.
 		return 0
 	}
 	return current.Senders.SlackShare(instance.settings.Name, instance.memberCount(), time.Now(), instance.settings.Retries.Window.Duration)
--- /dev/null
+++ b/internal/schedule/peer/start_test.go
@@ -0,0 +1,180 @@
+package peer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mimosaspring/mimosaspring/internal/schedule/peer"
+	"github.com/mimosaspring/mimosaspring/internal/state/api"
+	"github.com/mimosaspring/mimosaspring/internal/state/budget"
+)
+
+// process is one life of an instance.
+type process struct {
+	startedAt time.Duration
+	budget    *budget.Budget
+	// knownAt holds when the process learns of each change of the fleet, by its index.
+	delay time.Duration
+}
+
+// memberChange is a change of the fleet: a process that starts, fails or leaves.
+type memberChange struct {
+	at    time.Duration
+	name  string
+	state api.MemberState
+}
+
+// lives is a fleet whose processes start and end at any time.
+type lives struct {
+	limits  budget.Limits
+	now     time.Duration
+	changes []memberChange
+	running map[string]*process
+	// firsts and extras hold when requests were sent, by all processes.
+	firsts, extras []time.Duration
+}
+
+// membersOf returns the members that a process knows, and since when each of them has
+// ended. It learns of each change after its delay; before it was started, it knew nothing.
+func (lives *lives) membersOf(name string, process *process) (map[string]api.Member, map[string]time.Time) {
+	members := map[string]api.Member{name: {}}
+	endedAt := make(map[string]time.Time)
+	for _, change := range lives.changes {
+		learnedAt := max(change.at, process.startedAt) + process.delay
+		if learnedAt > lives.now || change.name == name {
+			continue
+		}
+		members[change.name] = api.Member{State: change.state}
+		delete(endedAt, change.name)
+		if change.state != api.MemberAlive {
+			endedAt[change.name] = slackStart.Add(learnedAt)
+		}
+	}
+	return members, endedAt
+}
+
+// start starts a process of the given name, which learns of changes after delay.
+func (lives *lives) start(name string, delay time.Duration) {
+	started := &process{startedAt: lives.now, delay: delay}
+	clock := func() time.Time { return slackStart.Add(lives.now) }
+	isRecent := func() bool {
+		return peer.HasRecentlyStarted(slackStart.Add(started.startedAt), clock(), lives.limits.Window)
+	}
+	slackShare := func() float64 {
+		members, endedAt := lives.membersOf(name, started)
+		if peer.IsUnmet(members, name, []string{"0", "1", "2"}) {
+			return 0
+		}
+		count := peer.SlackMemberCount(members, endedAt, clock(), lives.limits.Window)
+		return peer.Senders{}.SlackShare(name, count, clock(), lives.limits.Window)
+	}
+	started.budget = budget.New(lives.limits, func() int { return 1 }, func() time.Duration { return lives.now },
+		budget.WithSlackShare(slackShare), budget.WithRecentStart(isRecent))
+	lives.running[name] = started
+	lives.changes = append(lives.changes, memberChange{at: lives.now, name: name, state: api.MemberAlive})
+}
+
+// end ends a process.
+func (lives *lives) end(name string, state api.MemberState) {
+	delete(lives.running, name)
+	lives.changes = append(lives.changes, memberChange{at: lives.now, name: name, state: state})
+}
+
+// count returns how many of times are within the window that ends at end.
+func (lives *lives) count(times []time.Duration, end time.Duration) int {
+	count := 0
+	for _, at := range times {
+		if at > end-lives.limits.Window && at <= end {
+			count++
+		}
+	}
+	return count
+}
+
+// TestBudgetOverLives guards against processes that spend the retry budget of earlier ones
+// again (review/10). Processes are killed, stopped, started again, added and taken away at
+// any time, each of which others learn of with a delay, and send all extra requests that
+// they may. In no window may these exceed the budget.
+func TestBudgetOverLives(t *testing.T) {
+	const namesCount = 10
+	rapid.Check(t, func(t *rapid.T) {
+		lives := &lives{limits: budget.Limits{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}, running: make(map[string]*process)}
+		delayOf := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, 4_000).Draw(t, "delay")) * time.Millisecond
+		})
+		for number := range rapid.IntRange(1, 8).Draw(t, "instances") {
+			lives.start(fmt.Sprint(number), delayOf.Draw(t, "start"))
+		}
+		lives.now = 30 * time.Second
+		events := rapid.IntRange(100, 300).Draw(t, "events")
+		for range events {
+			lives.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "after")) * time.Millisecond
+			name := fmt.Sprint(rapid.IntRange(0, namesCount-1).Draw(t, "name"))
+			running, isRunning := lives.running[name]
+			switch rapid.IntRange(0, 12).Draw(t, "kind") {
+			case 0:
+				if isRunning {
+					lives.end(name, api.MemberFailed)
+				} else {
+					lives.start(name, delayOf.Draw(t, "start"))
+				}
+			case 1:
+				if isRunning {
+					lives.end(name, api.MemberLeft)
+				}
+			case 2:
+				// All are killed and start again.
+				for name := range lives.running {
+					lives.end(name, api.MemberFailed)
+					lives.start(name, delayOf.Draw(t, "start"))
+				}
+			default:
+				if !isRunning {
+					continue
+				}
+				running.budget.RecordFirst("shard")
+				lives.firsts = append(lives.firsts, lives.now)
+				for range rapid.IntRange(0, 20).Draw(t, "extras") {
+					if running.budget.Allow("shard", 1) {
+						lives.extras = append(lives.extras, lives.now)
+					}
+				}
+			}
+			limit := lives.limits.Ratio*float64(lives.count(lives.firsts, lives.now)) + lives.limits.Slack
+			extras := lives.count(lives.extras, lives.now)
+			assert.Assert(t, float64(extras) <= limit, "%d extra requests within 10 s, allowed %.1f", extras, limit)
+		}
+	})
+}
+
+// TestSlackOfStarts checks what may take part in dividing the retry budget's slack.
+func TestSlackOfStarts(t *testing.T) {
+	const window = 10 * time.Second
+	at := func(after time.Duration) time.Time { return slackStart.Add(after) }
+	members := func(states ...api.MemberState) map[string]api.Member {
+		known := make(map[string]api.Member)
+		for number, state := range states {
+			known[fmt.Sprint(number)] = api.Member{State: state}
+		}
+		return known
+	}
+	tests := map[string]struct{ got, want any }{
+		"at once":                         {got: peer.HasRecentlyStarted(at(0), at(0), window), want: true},
+		"before a whole window":           {got: peer.HasRecentlyStarted(at(0), at(window-time.Millisecond), window), want: true},
+		"others may not know it yet":      {got: peer.HasRecentlyStarted(at(0), at(window+4*time.Second), window), want: true},
+		"after a window known to others":  {got: peer.HasRecentlyStarted(at(0), at(window+5*time.Second), window), want: false},
+		"a member that failed counts":     {got: peer.SlackMemberCount(members(api.MemberAlive, api.MemberFailed), nil, at(0), window), want: 2},
+		"one that left just now counts":   {got: peer.SlackMemberCount(members(api.MemberAlive, api.MemberLeft), map[string]time.Time{"1": at(-time.Second)}, at(0), window), want: 2},
+		"one that left long ago does not": {got: peer.SlackMemberCount(members(api.MemberAlive, api.MemberLeft), map[string]time.Time{"1": at(-time.Minute)}, at(0), window), want: 1},
+		"alone, others are seeds":         {got: peer.IsUnmet(members(api.MemberAlive), "a", []string{"a", "b"}), want: true},
+		"alone, the only seed":            {got: peer.IsUnmet(members(api.MemberAlive), "a", []string{"a"}), want: false},
+		"others are known":                {got: peer.IsUnmet(members(api.MemberAlive, api.MemberFailed), "a", []string{"b"}), want: false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) { assert.Equal(t, test.got, test.want) })
+	}
+}
--- a/internal/state/budget/budget.go
+++ b/internal/state/budget/budget.go
@@ -12,7 +12,8 @@
 const bucketLength = time.Second
 
 // safetyFactor is the fraction of its share that an instance uses. The rest
-// allows for requests that instances count at slightly different times.
+// allows for requests that instances count at slightly different times, and for those that
+// have recently started.
 const safetyFactor = 0.85
 
 // Limits bounds the extra requests that all instances together may send to one
@@ -33,7 +34,9 @@
 	limits Limits
 	// slackShare returns this instance's share of Slack, 0 to 1.
 	slackShare func() float64
-	now        func() time.Duration
+	// isRecent reports whether the instance has recently started.
+	isRecent func() bool
+	now      func() time.Duration
 
 	// mutex guards upstreams and the windows in it.
 	mutex     sync.Mutex
@@ -62,11 +65,18 @@
 	return func(budget *Budget) { budget.slackShare = slackShare }
 }
 
+// WithRecentStart sets the function that reports whether the instance has recently started,
+// so that an earlier process may have spent its share in the same window. It then uses no
+// slack, and of the ratio only what safetyFactor leaves. By default it never has.
+func WithRecentStart(isRecent func() bool) Option {
+	return func(budget *Budget) { budget.isRecent = isRecent }
+}
+
 // New returns the budget of one instance. The function instances returns the
 // current number of instances, and now returns the time since any fixed origin
 // on a monotonic clock.
 func New(limits Limits, instances func() int, now func() time.Duration, options ...Option) *Budget {
-	budget := &Budget{limits: limits, now: now, upstreams: make(map[string]*window)}
+	budget := &Budget{limits: limits, now: now, isRecent: func() bool { return false }, upstreams: make(map[string]*window)}
 	budget.slackShare = func() float64 { return 1 / float64(max(instances(), 1)) }
 	for _, option := range options {
 		option(budget)
@@ -89,7 +99,7 @@
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	window := budget.window(upstream)
-	if float64(window.extraRequests()+1) > fraction*safetyFactor*budget.share(window) {
+	if float64(window.extraRequests()+1) > fraction*budget.share(window) {
 		return false
 	}
 	window.extraCounts[window.latestBucket%len(window.extraCounts)]++
@@ -105,7 +115,11 @@
 
 // share returns how many extra requests this instance may send within the window.
 func (budget *Budget) share(window *window) float64 {
-	return budget.limits.Ratio*float64(window.firstRequests()) + budget.limits.Slack*budget.slackShare()
+	ratioPart := budget.limits.Ratio * float64(window.firstRequests())
+	if budget.isRecent() {
+		return (1 - safetyFactor) * ratioPart
+	}
+	return safetyFactor * (ratioPart + budget.limits.Slack*budget.slackShare())
 }
 
 // window returns the window of upstream after clearing the buckets that have
