--- a/internal/schedule/peer/start_test.go
+++ b/internal/schedule/peer/start_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,11 +15,14 @@
 	"github.com/mimosaspring/mimosaspring/internal/state/budget"
 )
 
+// startSeeds names the seeds of the fleet.
+var startSeeds = []string{"0", "1", "2"}
+
 // process is one life of an instance.
 type process struct {
 	startedAt time.Duration
 	budget    *budget.Budget
-	// knownAt holds when the process learns of each change of the fleet, by its index.
+	// delay is how long after a change of the fleet the process learns of it.
 	delay time.Duration
 }
 
@@ -66,7 +71,7 @@
 	}
 	slackShare := func() float64 {
 		members, endedAt := lives.membersOf(name, started)
-		if peer.IsUnmet(members, name, []string{"0", "1", "2"}) {
+		if peer.IsUnmet(members, name, startSeeds) {
 			return 0
 		}
 		count := peer.SlackMemberCount(members, endedAt, clock(), lives.limits.Window)
@@ -112,36 +117,45 @@
 		lives.now = 30 * time.Second
 		events := rapid.IntRange(100, 300).Draw(t, "events")
 		for range events {
-			lives.now += time.Duration(rapid.IntRange(0, 400).Draw(t, "after")) * time.Millisecond
+			lives.now += time.Duration(rapid.IntRange(0, 1_000).Draw(t, "after")) * time.Millisecond
 			name := fmt.Sprint(rapid.IntRange(0, namesCount-1).Draw(t, "name"))
 			running, isRunning := lives.running[name]
-			switch rapid.IntRange(0, 12).Draw(t, "kind") {
-			case 0:
+			switch rapid.IntRange(0, 120).Draw(t, "kind") {
+			case 0, 1, 2, 3, 4, 5:
 				if isRunning {
 					lives.end(name, api.MemberFailed)
 				} else {
 					lives.start(name, delayOf.Draw(t, "start"))
 				}
-			case 1:
+			case 6, 7:
 				if isRunning {
 					lives.end(name, api.MemberLeft)
 				}
-			case 2:
+			case 8:
 				// All are killed and start again.
 				for name := range lives.running {
 					lives.end(name, api.MemberFailed)
 					lives.start(name, delayOf.Draw(t, "start"))
 				}
+			case 9:
+				// All lose power, and the seeds stay down, so that the others find nobody.
+				for name := range lives.running {
+					lives.end(name, api.MemberFailed)
+					if !slices.Contains(startSeeds, name) {
+						lives.start(name, time.Hour)
+					}
+				}
 			default:
 				if !isRunning {
 					continue
 				}
 				running.budget.RecordFirst("shard")
 				lives.firsts = append(lives.firsts, lives.now)
-				for range rapid.IntRange(0, 20).Draw(t, "extras") {
-					if running.budget.Allow("shard", 1) {
-						lives.extras = append(lives.extras, lives.now)
-					}
+			}
+			for _, name := range slices.Sorted(maps.Keys(lives.running)) {
+				isBusy := rapid.Bool().Draw(t, "busy")
+				for isBusy && lives.running[name].budget.Allow("shard", 1) {
+					lives.extras = append(lives.extras, lives.now)
 				}
 			}
 			limit := lives.limits.Ratio*float64(lives.count(lives.firsts, lives.now)) + lives.limits.Slack
