--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -130,7 +130,7 @@
 		return nil, err
 	}
 	instance.logger.Info("instance started", zap.String("name", settings.Name),
-		zap.Int("maxDescriptors", settings.Process.MaxDescriptors), zap.Bool("pace", settings.Schedule.Pace), zap.Float64("coldOvershoot", settings.Schedule.ColdOvershoot),
+		zap.Int("maxDescriptors", settings.Process.MaxDescriptors), zap.Bool("pace", settings.Schedule.Pace), zap.Bool("firstStart", settings.Retries.IsFirstStart), zap.Float64("coldOvershoot", settings.Schedule.ColdOvershoot),
 		zap.String("callerAddress", instance.CallerAddress), zap.String("peerAddress", instance.PeerAddress),
 		zap.String("operatorAddress", instance.OperatorAddress), zap.String("version", Version))
 	return instance, nil
@@ -360,7 +360,7 @@
 // hasRecentlyStarted reports whether an earlier process may have spent this instance's
 // share of the retry budget.
 func (instance *Instance) hasRecentlyStarted() bool {
-	return schedulepeer.HasRecentlyStarted(instance.startedAt, time.Now(), instance.settings.Retries.Window.Duration)
+	return !instance.settings.Retries.IsFirstStart && schedulepeer.HasRecentlyStarted(instance.startedAt, time.Now(), instance.settings.Retries.Window.Duration)
 }
 
 // retryLimits returns the limits of the retry budget that the settings contain.
--- a/internal/process/instance/slackshare_test.go
+++ b/internal/process/instance/slackshare_test.go
@@ -18,14 +18,16 @@
 	tests := map[string]struct {
 		isSettled, bySender bool
 		// age is the time since the start; 0 stands for one that is long past.
-		age   time.Duration
-		seeds []string
-		want  float64
+		age          time.Duration
+		isFirstStart bool
+		seeds        []string
+		want         float64
 	}{
 		"unsettled":                     {bySender: true},
 		"settled":                       {bySender: true, isSettled: true, want: 1},
 		"unsettled without the setting": {want: 1},
 		"just started":                  {bySender: true, isSettled: true, age: time.Millisecond},
+		"just started, the first time":  {bySender: true, isSettled: true, age: time.Millisecond, isFirstStart: true, want: 1},
 		"within the window":             {isSettled: true, age: 9 * time.Second},
 		"others may not know it yet":    {isSettled: true, age: 14 * time.Second},
 		"after a whole window":          {bySender: true, isSettled: true, age: 16 * time.Second, want: 1},
@@ -37,6 +39,7 @@
 			state.IsSettled = test.isSettled
 			instance := &Instance{settings: settings.Settings{Name: "a", Seeds: test.seeds}}
 			instance.settings.Retries.Window.Duration = 10 * time.Second
+			instance.settings.Retries.IsFirstStart = test.isFirstStart
 			if test.age > 0 {
 				instance.startedAt = time.Now().Add(-test.age)
 			}
--- a/internal/standin/trial/trial.go
+++ b/internal/standin/trial/trial.go
@@ -117,6 +117,7 @@
 	for _, instance := range trial.Instances {
 		settings.Seeds = append(settings.Seeds, instance.PeerAddress)
 	}
+	settings.Retries.IsFirstStart = true
 	if trial.options.ChangeSettings != nil {
 		trial.options.ChangeSettings(&settings)
 	}
--- a/internal/state/api/refusal.go
+++ b/internal/state/api/refusal.go
@@ -31,18 +31,18 @@
 	return DecodedDocument{Document: document, RefusalReason: refusal.Reason}
 }
 
-// WithoutUnusedValue returns decoded with a Refusal in place of the value if the document
+// WithoutUnusedValue returns decodeddocument with a Refusal in place of the value if the document
 // is refused or ignored. Every other document is returned unchanged.
-func (decoded DecodedDocument) WithoutUnusedValue() DecodedDocument {
-	reason := cmp.Or(decoded.RefusalReason, decoded.IgnoredReason)
-	if reason == "" || decoded.Document.Refusal != nil {
-		return decoded
+func (decodeddocument DecodedDocument) WithoutUnusedValue() DecodedDocument {
+	reason := cmp.Or(decodeddocument.RefusalReason, decodeddocument.IgnoredReason)
+	if reason == "" || decodeddocument.Document.Refusal != nil {
+		return decodeddocument
 	}
-	decoded.Document.Refusal = &Refusal{
+	decodeddocument.Document.Refusal = &Refusal{
 		Reason:    reason[:min(len(reason), MaxReasonBytes)],
-		Bytes:     int64(len(decoded.Document.Value)),
-		IsIgnored: decoded.RefusalReason == "",
+		Bytes:     int64(len(decodeddocument.Document.Value)),
+		IsIgnored: decodeddocument.RefusalReason == "",
 	}
-	decoded.Document.Value, decoded.Document.Compressed = unusableValue, nil
-	return decoded
+	decodeddocument.Document.Value, decodeddocument.Document.Compressed = unusableValue, nil
+	return decodeddocument
 }
--- a/internal/state/settings/settings.go
+++ b/internal/state/settings/settings.go
@@ -158,6 +158,10 @@
 	Slack float64 `toml:"slack"`
 	// Window is the time over which first requests and retries are counted.
 	Window Duration `toml:"window"`
+	// IsFirstStart is set if no earlier process of the instance can have sent retries
+	// within Window, as when the whole system starts for the first time. Other processes
+	// spend next to nothing in the first Window after their start.
+	IsFirstStart bool `toml:"firstStart"`
 }
 
 // Log configures the log output.
