schedule/peer: a counted start waits for one window only

The further 5 s of a start are for what other members spend of a smaller fleet's slack until they learn of a new one. They need not pass if no other member started earlier, as when the fleet starts, or if peers tell of an earlier process of the same name.

--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -40,6 +40,7 @@
 		Number:           state.viewNumber,
 		IsConfigured:     state.IsConfigured,
 		IsSettled:        state.IsSettled,
+		HasPredecessor:   state.HasPredecessor,
 		Self:             state.Self,
 		Members:          members,
 		ListedInstances:  configuration.listedInstances,
--- a/internal/command/control/membership.go
+++ b/internal/command/control/membership.go
@@ -81,6 +81,10 @@
 
 func isLeaving(state api.MemberState) bool { return state >= api.MemberLeaving }
 
+// maxCountedAgeSeconds is how long ago an earlier process of this instance's name may have
+// left for the others to count it among those that share the retry budget.
+const maxCountedAgeSeconds = 10
+
 // applyUpdateAboutSelf refutes an update that calls this instance suspect or
 // failed. If an earlier process of the same name had a higher incarnation, which
 // happens when the system clock was set back between the two, this process takes
@@ -90,6 +94,9 @@
 		state.Self.Incarnation = update.Incarnation + 1
 		return storeSelf(state, now)
 	}
+	if update.Incarnation < state.Self.Incarnation && (update.State != api.MemberLeft || update.AgeSeconds < maxCountedAgeSeconds) {
+		state.HasPredecessor = true
+	}
 	if update.Incarnation != state.Self.Incarnation || !Supersedes(update, state.Self) {
 		return Effects{}
 	}
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -63,6 +63,9 @@
 	// IsSettled is set once this instance can be expected to know the other
 	// instances. It is never reset.
 	IsSettled bool
+	// HasPredecessor is set if others counted an earlier process of this instance's name
+	// among the members when this one started.
+	HasPredecessor bool
 	// startedAt is when this instance started, and memberJoinedAt when it last
 	// learned of an instance that it did not know.
 	startedAt, memberJoinedAt time.Time
--- a/internal/process/instance/instance.go
+++ b/internal/process/instance/instance.go
@@ -360,7 +360,9 @@
 // hasRecentlyStarted reports whether an earlier process may have spent this instance's
 // share of the retry budget.
 func (instance *Instance) hasRecentlyStarted() bool {
-	return !instance.settings.Retries.IsFirstStart && schedulepeer.HasRecentlyStarted(instance.startedAt, time.Now(), instance.settings.Retries.Window.Duration)
+	current := instance.View()
+	isCounted := current.HasPredecessor || schedulepeer.StartedTogether(current.Members, current.Self)
+	return !instance.settings.Retries.IsFirstStart && schedulepeer.HasRecentlyStarted(instance.startedAt, time.Now(), instance.settings.Retries.Window.Duration, isCounted)
 }
 
 // retryLimits returns the limits of the retry budget that the settings contain.
--- a/internal/schedule/peer/start.go
+++ b/internal/schedule/peer/start.go
@@ -8,10 +8,27 @@
 
 // HasRecentlyStarted reports whether the process that started at startedAt must leave the
 // retry budget to its predecessors: a process of the same name may have spent all of its
-// share before, in the same window, and nobody knows how much. The other members, too, may
-// have spent shares of a smaller fleet until they learned of this one.
-func HasRecentlyStarted(startedAt, now time.Time, window time.Duration) bool {
-	return now.Sub(startedAt) < window+maxViewDelay
+// share before, in the same window, and nobody knows how much. Unless isCounted is set, the
+// other members, too, may have spent shares of a smaller fleet until they learned of this
+// one.
+func HasRecentlyStarted(startedAt, now time.Time, window time.Duration, isCounted bool) bool {
+	if !isCounted {
+		window += maxViewDelay
+	}
+	return now.Sub(startedAt) < window
+}
+
+// StartedTogether reports whether no other member that may still send started earlier than
+// maxViewDelay before self, as when the whole fleet starts. None of them has then spent a
+// share of a fleet without self.
+func StartedTogether(members map[string]api.Member, self api.Member) bool {
+	for name, member := range members {
+		isEarlier := member.Incarnation+uint64(maxViewDelay) < self.Incarnation
+		if name != self.Instance.Name && member.State != api.MemberLeft && isEarlier {
+			return false
+		}
+	}
+	return true
 }
 
 // SlackMemberCount returns the number of members that share the retry budget's slack: all
--- a/internal/schedule/peer/start_test.go
+++ b/internal/schedule/peer/start_test.go
@@ -31,6 +31,8 @@
 	at    time.Duration
 	name  string
 	state api.MemberState
+	// startedAt is when the process started.
+	startedAt time.Duration
 }
 
 // lives is a fleet whose processes start and end at any time.
@@ -53,7 +55,7 @@
 		if learnedAt > lives.now || change.name == name {
 			continue
 		}
-		members[change.name] = api.Member{State: change.state}
+		members[change.name] = api.Member{Instance: api.Instance{Name: change.name}, State: change.state, Incarnation: uint64(change.startedAt)}
 		delete(endedAt, change.name)
 		if change.state != api.MemberAlive {
 			endedAt[change.name] = slackStart.Add(learnedAt)
@@ -66,8 +68,12 @@
 func (lives *lives) start(name string, delay time.Duration) {
 	started := &process{startedAt: lives.now, delay: delay}
 	clock := func() time.Time { return slackStart.Add(lives.now) }
+	self := api.Member{Instance: api.Instance{Name: name}, Incarnation: uint64(lives.now)}
+	hasPredecessor := lives.hasCounted(name)
 	isRecent := func() bool {
-		return peer.HasRecentlyStarted(slackStart.Add(started.startedAt), clock(), lives.limits.Window)
+		members, _ := lives.membersOf(name, started)
+		isCounted := hasPredecessor && len(members) > 1 || peer.StartedTogether(members, self)
+		return peer.HasRecentlyStarted(slackStart.Add(started.startedAt), clock(), lives.limits.Window, isCounted)
 	}
 	slackShare := func() float64 {
 		members, endedAt := lives.membersOf(name, started)
@@ -80,13 +86,23 @@
 	started.budget = budget.New(lives.limits, func() int { return 1 }, func() time.Duration { return lives.now },
 		budget.WithSlackShare(slackShare), budget.WithRecentStart(isRecent))
 	lives.running[name] = started
-	lives.changes = append(lives.changes, memberChange{at: lives.now, name: name, state: api.MemberAlive})
+	lives.changes = append(lives.changes, memberChange{at: lives.now, name: name, state: api.MemberAlive, startedAt: lives.now})
+}
+
+// hasCounted reports whether the others count an earlier process of the name that has ended.
+func (lives *lives) hasCounted(name string) bool {
+	for _, change := range slices.Backward(lives.changes) {
+		if change.name == name {
+			return change.state == api.MemberFailed || change.state == api.MemberLeft && lives.now-change.at < 10*time.Second
+		}
+	}
+	return false
 }
 
 // end ends a process.
 func (lives *lives) end(name string, state api.MemberState) {
+	lives.changes = append(lives.changes, memberChange{at: lives.now, name: name, state: state, startedAt: lives.running[name].startedAt})
 	delete(lives.running, name)
-	lives.changes = append(lives.changes, memberChange{at: lives.now, name: name, state: state})
 }
 
 // count returns how many of times are within the window that ends at end.
@@ -176,11 +192,22 @@
 		}
 		return known
 	}
+	startedAt := func(times ...time.Duration) map[string]api.Member {
+		known := make(map[string]api.Member)
+		for number, at := range times {
+			name := fmt.Sprint(number)
+			known[name] = api.Member{Instance: api.Instance{Name: name}, Incarnation: uint64(at)}
+		}
+		return known
+	}
 	tests := map[string]struct{ got, want any }{
-		"at once":                         {got: peer.HasRecentlyStarted(at(0), at(0), window), want: true},
-		"before a whole window":           {got: peer.HasRecentlyStarted(at(0), at(window-time.Millisecond), window), want: true},
-		"others may not know it yet":      {got: peer.HasRecentlyStarted(at(0), at(window+4*time.Second), window), want: true},
-		"after a window known to others":  {got: peer.HasRecentlyStarted(at(0), at(window+5*time.Second), window), want: false},
+		"at once":                         {got: peer.HasRecentlyStarted(at(0), at(0), window, true), want: true},
+		"before a whole window":           {got: peer.HasRecentlyStarted(at(0), at(window-time.Millisecond), window, true), want: true},
+		"others may not know it yet":      {got: peer.HasRecentlyStarted(at(0), at(window+4*time.Second), window, false), want: true},
+		"after a window known to others":  {got: peer.HasRecentlyStarted(at(0), at(window+5*time.Second), window, false), want: false},
+		"a whole window, counted before":  {got: peer.HasRecentlyStarted(at(0), at(window), window, true), want: false},
+		"all started together":            {got: peer.StartedTogether(startedAt(100*time.Second, 99*time.Second), startedAt(100 * time.Second)["0"]), want: true},
+		"another one has been running":    {got: peer.StartedTogether(startedAt(100*time.Second, 90*time.Second), startedAt(100 * time.Second)["0"]), want: false},
 		"a member that failed counts":     {got: peer.SlackMemberCount(members(api.MemberAlive, api.MemberFailed), nil, at(0), window), want: 2},
 		"one that left just now counts":   {got: peer.SlackMemberCount(members(api.MemberAlive, api.MemberLeft), map[string]time.Time{"1": at(-time.Second)}, at(0), window), want: 2},
 		"one that left long ago does not": {got: peer.SlackMemberCount(members(api.MemberAlive, api.MemberLeft), map[string]time.Time{"1": at(-time.Minute)}, at(0), window), want: 1},
--- a/internal/state/view/view.go
+++ b/internal/state/view/view.go
@@ -20,7 +20,10 @@
 	// IsSettled is set once the instance can be expected to know the others. Before
 	// that there are no homes.
 	IsSettled bool
-	Self      api.Member
+	// HasPredecessor is set if others counted an earlier process of this instance's name
+	// among the members when this one started.
+	HasPredecessor bool
+	Self           api.Member
 	// Members holds all known instances of the system by name.
 	Members map[string]api.Member
 	Indexes map[string]Index
