command/control: entries are trimmed by the upstreams of the same build

The bound of entries of unnamed upstreams was applied with the names of the build before, so that those of an upstream that had just been configured could go, and came back only with the next listing; and not before the first whole listing.

--- a/internal/command/control/build.go
+++ b/internal/command/control/build.go
@@ -18,15 +18,14 @@
 		members[name] = member.Member
 	}
 	if effects.RebuildConfiguration || effects.RebuildDocuments {
+		nameUpstreams(state)
 		enforceBounds(state)
 		state.sortedDocuments = sortDocuments(state)
+		buildDocuments(state)
 	}
 	if effects.RebuildConfiguration {
 		buildConfiguration(state)
 	}
-	if effects.RebuildConfiguration || effects.RebuildDocuments {
-		buildDocuments(state)
-	}
 	if effects.RebuildRoles {
 		buildRoles(state, members)
 	}
@@ -97,11 +96,6 @@
 // leaving replicas and snapshot reports.
 func buildConfiguration(state *State) {
 	upstreams := upstreamsByName(state)
-	names := make(map[string]bool, len(upstreams))
-	for name := range upstreams {
-		names[name] = true
-	}
-	requestListing(state, names)
 	evacuated := evacuatedDomains(state)
 	buildReplicas(state, upstreams, evacuated)
 	upstreamReplicas := replicasByUpstream(state)
@@ -115,7 +109,6 @@
 		limits:           callerLimits(state),
 		evacuatedDomains: evacuated,
 		leavingReplicas:  sortedByLearnTime(state.LeavingReplicas),
-		upstreamNames:    names,
 	}
 }
 
--- a/internal/command/control/retention.go
+++ b/internal/command/control/retention.go
@@ -56,6 +56,8 @@
 	unbuiltCount int
 	// omittedCount counts the documents that were not kept because of the bounds.
 	omittedCount int64
+	// upstreamNames holds the names of the configured upstreams.
+	upstreamNames map[string]bool
 	// omitsEntries is set if entries of unnamed upstreams were not kept. The platform is
 	// listed again once a further upstream is configured; listingNumber is then raised.
 	omitsEntries  bool
@@ -144,7 +146,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(decoded.Instances.Instances, func(instance api.Instance) bool {
-		return instance.Upstream == api.OwnUpstream || state.configuration.upstreamNames[instance.Upstream]
+		return instance.Upstream == api.OwnUpstream || state.retention.upstreamNames[instance.Upstream]
 	})
 }
 
@@ -162,7 +164,7 @@
 		switch {
 		case decoded.Document.IsDeleted:
 			removed = append(removed, key)
-		case state.IsConfigured && isUnnamed(state, decoded):
+		case len(retention.upstreamNames) > 0 && isUnnamed(state, decoded):
 			unnamed = append(unnamed, key)
 		}
 	}
@@ -236,14 +238,25 @@
 	return effects
 }
 
-// requestListing raises the number of the listing if upstreams were configured whose
-// entries may not have been kept.
-func requestListing(state *State, names map[string]bool) {
-	previous := state.configuration.upstreamNames
-	isFurther := func(name string) bool { return !previous[name] }
-	if state.retention.omitsEntries && slices.ContainsFunc(slices.Collect(maps.Keys(names)), isFurther) {
-		state.retention.omitsEntries = false
-		state.retention.listingNumber++
+// nameUpstreams records which upstreams are configured. If entries of others were not kept, it
+// raises the number of the listing once there is a further one.
+func nameUpstreams(state *State) {
+	retention := &state.retention
+	names := make(map[string]bool)
+	isFurther := false
+	for _, decoded := range state.DocumentsInForce {
+		if decoded.Upstreams == nil {
+			continue
+		}
+		for _, upstream := range decoded.Upstreams.Upstreams {
+			names[upstream.Name] = true
+			isFurther = isFurther || !retention.upstreamNames[upstream.Name]
+		}
+	}
+	retention.upstreamNames = names
+	if isFurther && retention.omitsEntries {
+		retention.omitsEntries = false
+		retention.listingNumber++
 	}
 }
 
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -165,8 +165,6 @@
 	limits           api.CallerLimits
 	evacuatedDomains []string
 	leavingReplicas  []view.Timestamped[api.LeavingReplica]
-	// upstreamNames holds the names of the configured upstreams.
-	upstreamNames map[string]bool
 }
 
 // documents is the part of a View that states which documents are known.
--- a/internal/command/control/upgrade_test.go
+++ b/internal/command/control/upgrade_test.go
@@ -14,21 +14,21 @@
 // earlier instances, which kept them whole. If they differed, instances of both
 // versions would sync all the time in a rolling upgrade.
 func TestDigestsOfVersions(t *testing.T) {
-	refused := written("servers/odd", 0, 7, "broken")
+	refused := written("instances/odd", 0, 7, "broken")
 	refused.RefusalReason = "broken"
 	ignored := written("notes/a", 0, 8, "a note")
 	ignored.IgnoredReason = "its key is not used"
-	removed := written("servers/odd", 0, 9, "")
+	removed := written("instances/odd", 0, 9, "")
 	removed.Document.IsDeleted = true
 	tests := map[string]struct {
 		documents []api.DecodedDocument
 		want      uint64
 	}{
-		"a refused document":      {documents: []api.DecodedDocument{refused}, want: 16349467296407537483},
+		"a refused document":      {documents: []api.DecodedDocument{refused}, want: 8332123699436470060},
 		"an ignored document":     {documents: []api.DecodedDocument{ignored}, want: 1290382462018187692},
-		"a refused one, removed":  {documents: []api.DecodedDocument{refused, removed}, want: 17423846185191367246},
-		"refused beside an entry": {documents: []api.DecodedDocument{written("servers/odd", 0, 6, "x"), refused}, want: 6690901193399223813},
-		"all":                     {documents: []api.DecodedDocument{numbered(0, 5, 3), ignored, refused}, want: 16780120722762812136},
+		"a refused one, removed":  {documents: []api.DecodedDocument{refused, removed}, want: 3074629573198157856},
+		"refused beside an entry": {documents: []api.DecodedDocument{written("instances/odd", 0, 6, "x"), refused}, want: 9114367130514980884},
+		"all":                     {documents: []api.DecodedDocument{numbered(0, 5, 3), ignored, refused}, want: 8762783719238414991},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/instance/kept_test.go
+++ b/internal/process/instance/kept_test.go
@@ -35,6 +35,10 @@
 func stateOf(count int, messagesOf func(number int) []message.Message) *control.State {
 	state := control.NewState(api.Member{Instance: api.Instance{Name: "self"}}, time.Second, keptStart)
 	state.IsConfigured = true
+	upstreams := documentOf("upstreams/all", 1, 10)
+	upstreams.Upstreams = &api.Upstreams{Upstreams: []api.Upstream{{Name: "named"}}}
+	control.Apply(state, message.DocumentReceived{Decoded: upstreams}, keptStart)
+	control.Build(state, control.RebuildAll)
 	now := keptStart
 	for number := range count {
 		now = now.Add(time.Millisecond)
@@ -58,7 +62,7 @@
 
 // entryOf returns the entry of a replica of an upstream that is not configured.
 func entryOf(name string, revision, sequence uint64, length int) api.DecodedDocument {
-	decoded := documentOf("servers/"+name, revision, length)
+	decoded := documentOf("instances/"+name, revision, length)
 	decoded.Document.Number = api.Number{Incarnation: 1, Sequence: sequence}
 	decoded.Instances = &api.InstanceList{Instances: []api.Instance{{Name: name, Upstream: "elsewhere", Incarnation: 1, Sequence: sequence}}}
 	return decoded
@@ -88,7 +92,7 @@
 	}{
 		"refused documents": {maxBytes: 4 * megabyte, use: func(*testing.T) any {
 			return stateOf(20_000, func(number int) []message.Message {
-				decoded := documentOf(fmt.Sprintf("servers/odd-%d", number), uint64(number+1), kilobyte)
+				decoded := documentOf(fmt.Sprintf("instances/odd-%d", number), uint64(number+1), kilobyte)
 				decoded.RefusalReason = "broken"
 				return []message.Message{received(decoded)}
 			})
@@ -102,14 +106,14 @@
 		}},
 		"a refused document, written again": {maxBytes: megabyte, use: func(*testing.T) any {
 			return stateOf(20_000, func(number int) []message.Message {
-				decoded := documentOf("servers/odd", uint64(number+1), kilobyte)
+				decoded := documentOf("instances/odd", uint64(number+1), kilobyte)
 				decoded.RefusalReason = fmt.Sprint("broken ", number)
 				return []message.Message{received(decoded)}
 			})
 		}},
 		"refused documents, removed": {maxBytes: 14 * megabyte, use: func(*testing.T) any {
 			return stateOf(20_000, func(number int) []message.Message {
-				key := fmt.Sprintf("servers/odd-%d", number)
+				key := fmt.Sprintf("instances/odd-%d", number)
 				decoded := documentOf(key, uint64(2*number+1), 10)
 				decoded.RefusalReason = "broken"
 				return []message.Message{steady, received(decoded), removalOf(key, uint64(2*number+2))}
@@ -123,19 +127,19 @@
 		"removed entries": {maxBytes: 14 * megabyte, use: func(*testing.T) any {
 			return stateOf(20_000, func(number int) []message.Message {
 				name := fmt.Sprint(number)
-				return []message.Message{steady, received(entryOf(name, uint64(2*number+1), 1, 10)), removalOf("servers/"+name, uint64(2*number+2))}
+				return []message.Message{steady, received(entryOf(name, uint64(2*number+1), 1, 10)), removalOf("instances/"+name, uint64(2*number+2))}
 			})
 		}},
 		"superseded entries, removed": {maxBytes: 14 * megabyte, use: func(*testing.T) any {
 			return stateOf(20_000, func(number int) []message.Message {
 				name, revision := fmt.Sprint(number), uint64(3*number+1)
-				return []message.Message{steady, received(entryOf(name, revision, 7, 10)), received(entryOf(name, revision+1, 6, 10)), removalOf("servers/"+name, revision+2)}
+				return []message.Message{steady, received(entryOf(name, revision, 7, 10)), received(entryOf(name, revision+1, 6, 10)), removalOf("instances/"+name, revision+2)}
 			})
 		}},
 		"pending removals": {maxBytes: 14 * megabyte, use: func(*testing.T) any {
 			return stateOf(20_000, func(number int) []message.Message {
 				name := fmt.Sprint(number)
-				return []message.Message{received(entryOf(name, uint64(2*number+1), 1, 10)), removalOf("servers/"+name, uint64(2*number+2))}
+				return []message.Message{received(entryOf(name, uint64(2*number+1), 1, 10)), removalOf("instances/"+name, uint64(2*number+2))}
 			})
 		}},
 		"leaving replicas": {maxBytes: 3 * megabyte, use: func(*testing.T) any {
