--- a/internal/command/control/document.go
+++ b/internal/command/control/document.go
@@ -45,8 +45,7 @@
 		document = decoded.Document
 	}
 	decoded.Instances = newerInstances(previous.Instances, decoded.Instances)
-	isOfNoUse := isUnnamed(state, decoded) && (previous.Document.Key == "" || previous.Document.IsDeleted || isUnnamed(state, previous)) ||
-		document.IsDeleted && (previous.Document.Key == "" || isUnnamed(state, previous))
+	isOfNoUse := hasNoUse(state, previous) && hasNoUse(state, decoded)
 	state.DocumentsInForce[document.Key] = decoded
 	recordRemoval(state, document, now)
 	if !state.PendingDocuments[document.Key].Decoded.Document.Precedence().After(document.Precedence()) {
--- a/internal/command/control/retention.go
+++ b/internal/command/control/retention.go
@@ -36,8 +36,9 @@
 	// maxUnbuiltChanges is the number of documents that may be added before the bounds are
 	// enforced by building a View.
 	maxUnbuiltChanges = 1_024
-	// refusalInterval is the least time between two refusals of a key that are taken from
-	// the platform. Another writer may write an entry all the time.
+	// refusalInterval is the least time between two refusals of a key without a valid
+	// document that are taken from the platform. Another writer may write an entry all the
+	// time.
 	refusalInterval = 10 * time.Second
 	// forgetInterval is the time between two checks for removals whose retention is over.
 	forgetInterval = time.Minute
@@ -99,7 +100,7 @@
 	if isUnusedKey {
 		previous := state.RefusedDocuments[document.Key].Document
 		isFrequent := now.Sub(times.takenAt) < refusalInterval && previous.Era == document.Era
-		return received.IsFromPlatform && isFrequent
+		return received.IsFromPlatform && isFrequent && !hasValid
 	}
 	isOmitted := !hasValid && retention.limit > 0 && len(state.RefusedDocuments) >= maxUnusedDocuments && xxhash.Sum64String(document.Key) >= retention.limit
 	if isOmitted {
@@ -150,6 +151,12 @@
 	})
 }
 
+// hasNoUse reports whether a document in force changes nothing in use: there is none, it is
+// a removal, or an entry of an unnamed upstream.
+func hasNoUse(state *State, decoded api.DecodedDocument) bool {
+	return decoded.Document.Key == "" || decoded.Document.IsDeleted || isUnnamed(state, decoded)
+}
+
 // enforceBounds deletes the documents that exceed the bounds, and what belongs to them.
 func enforceBounds(state *State) {
 	retention := &state.retention
