command/platform: a part of an answer is not taken for a stale one

A watch's answer that is read in parts ends at a revision below the store's. Once a peer had sent something newer, each further part would have been refused as stale, for ever. TestReaderTakesParts fails without the change.

--- a/internal/command/platform/reader.go
+++ b/internal/command/platform/reader.go
@@ -161,7 +161,7 @@
 		return nil
 	}
 	reader.logUnreadable(changes)
-	if err := reader.checkVersion(ctx, current, changes.Version()); err != nil {
+	if err := reader.checkVersion(ctx, current, changes); err != nil {
 		return err
 	}
 	if err := reader.mailbox.Send(ctx, message.PlatformAnswered{AnsweredAt: time.Now(), Era: changes.Era, IsAfterFailure: reader.isFailing}); err != nil {
@@ -183,8 +183,13 @@
 }
 
 // checkVersion returns an error if an answer is older than what this instance knows. A
-// later page of a listing must not be older than the first one.
-func (reader *Reader[S]) checkVersion(ctx context.Context, current *view.View, version api.Version) error {
+// later page of a listing must not be older than the first one. The version of a part of an
+// answer does not tell how old the answer is.
+func (reader *Reader[S]) checkVersion(ctx context.Context, current *view.View, changes api.Changes) error {
+	version := changes.Version()
+	if changes.IsPart {
+		return nil
+	}
 	if reader.listing != nil {
 		if known := reader.listing.version; known.After(version) {
 			return reader.rejectStale(ctx, version, known)
--- a/internal/command/platform/reader_test.go
+++ b/internal/command/platform/reader_test.go
@@ -287,3 +287,29 @@
 		synctest.Wait()
 	})
 }
+
+// TestReaderTakesParts guards against an answer that is read in parts and is taken for a stale
+// one, again and again, because a peer has sent something newer meanwhile.
+func TestReaderTakesParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		state := control.NewState(api.Member{Instance: api.Instance{Name: "a"}}, time.Second, time.Now())
+		controlPart := control.New(state, zap.NewNop())
+		controlPart.Start(ctx, control.PeerCalls{SendGossip: func(api.Gossip) {}, Refresh: func() {}})
+		store := &scriptedStore{answers: []answer{
+			{changes: api.Changes{Revision: 5, Documents: []api.Document{document("a", 5)}, IsComplete: true}},
+			{delay: time.Second, changes: api.Changes{Revision: 7, Documents: []api.Document{document("b", 7)}, IsPart: true}},
+			{changes: api.Changes{Revision: 9, Documents: []api.Document{document("d", 9)}, IsPart: true}},
+			{changes: api.Changes{Revision: 60, Documents: []api.Document{document("c", 60)}}},
+		}}
+		platform.NewReader([]*scriptedStore{store}, parse, settings.Default().Reading, controlPart, zap.NewNop()).Start(ctx)
+		time.Sleep(900 * time.Millisecond)
+		assert.NilError(t, controlPart.Mailbox.Send(ctx, message.DocumentReceived{Decoded: parse(document("z", 50))}))
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, store.requests(), []uint64{0, 5, 7, 9, 60})
+		assert.Equal(t, controlPart.CurrentView.Load().DocumentsInForce["d"].Revision, uint64(9))
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/state/api/document.go
+++ b/internal/state/api/document.go
@@ -138,6 +138,9 @@
 	// UnreadableCount is the number of entries that could not be decoded and are not
 	// in Documents.
 	UnreadableCount int
+	// IsPart is set if only a part of the store's answer was taken. Revision is then that of
+	// the last change in it, from which the next call goes on, and not the store's.
+	IsPart bool
 	// Next is the key after which a listing goes on; empty if there is no further page.
 	// Documents then holds the keys up to Next.
 	Next string
--- a/internal/wire/http/platform.go
+++ b/internal/wire/http/platform.go
@@ -89,7 +89,7 @@
 	slices.SortFunc(listing.Keys, func(a, b api.KeyRevision) int { return cmp.Compare(a.Revision, b.Revision) })
 	changes, last, err := platformclient.readListed(ctx, listing, knownVersion)
 	if err == nil && last < len(listing.Keys)-1 {
-		changes.Revision = min(changes.Revision, listing.Keys[last].Revision)
+		changes.Revision, changes.IsPart = min(changes.Revision, listing.Keys[last].Revision), true
 	}
 	return changes, err
 }
