--- a/internal/query/operator/operator.go
+++ b/internal/query/operator/operator.go
@@ -274,8 +274,8 @@
 	// Superseded describes the configurations of which the store states an older one than
 	// that from which this follows.
 	Superseded []SupersededStatus `json:"superseded,omitempty"`
-	// Refused describes the refused documents whose valid predecessors are in force.
-	Refused []view.UnusedKey `json:"refused,omitempty"`
+	// Unused describes the documents of the platform from which nothing of this follows.
+	Unused *UnusedStatus `json:"unused,omitempty"`
 }
 
 // ShardExplanation is a covered shard and the names of its replicas.
@@ -321,11 +321,7 @@
 		Shards:    []ShardExplanation{},
 
 		Superseded: supersededStatuses(current.SupersededConfigurations(), time.Now()),
-	}
-	for _, unusedkey := range current.UnusedKeys.Keys {
-		if unusedkey.RevisionInForce > 0 && len(explanation.Refused) < maxUnusedKeys {
-			explanation.Refused = append(explanation.Refused, unusedkey)
-		}
+		Unused:     unusedStatus(current.UnusedKeys),
 	}
 	heldBack := make(map[string]bool)
 	for _, removal := range current.HeldBackRemovals {
--- a/internal/query/operator/operator_test.go
+++ b/internal/query/operator/operator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -98,3 +99,46 @@
 	_, err = Explain(current, "lookup", "other")
 	assert.ErrorContains(t, err, "kind")
 }
+
+// TestUnusedDocuments checks that status and explain name the documents of no use, the largest
+// of them, with their lengths, why, and since when.
+func TestUnusedDocuments(t *testing.T) {
+	since := time.Date(2026, 12, 8, 0, 0, 0, 0, time.UTC)
+	keys := func(count int) view.UnusedKeys {
+		unused := view.UnusedKeys{UnnamedCount: 3, OmittedCount: 7}
+		for number := range count {
+			unused.Keys = append(unused.Keys, view.UnusedKey{Key: fmt.Sprint("odd-", number), Kind: view.UnusedRefused, Reason: "broken", Bytes: 1 << 20, Since: since})
+			unused.Bytes += 1 << 20
+		}
+		return unused
+	}
+	tests := map[string]struct {
+		unused    view.UnusedKeys
+		wantNone  bool
+		wantKeys  int
+		wantBytes int64
+	}{
+		"none": {wantNone: true},
+		"one":  {unused: keys(1), wantKeys: 1, wantBytes: 1 << 20},
+		"many": {unused: keys(300), wantKeys: 64, wantBytes: 300 << 20},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			scope := view.Scope{Scope: api.Scope{Name: "s"}, Selections: map[string]view.Selection{"k": {}}}
+			current := &view.View{UnusedKeys: test.unused, Scopes: map[string]view.Scope{"s": scope}}
+			explanation, err := Explain(current, "s", "k")
+			assert.NilError(t, err)
+			status := StatusOf(current, "", since).Unused
+			assert.DeepEqual(t, explanation.Unused, status)
+			assert.Equal(t, status == nil, test.wantNone)
+			if status == nil {
+				return
+			}
+			assert.Equal(t, status.RefusedCount, len(test.unused.Keys))
+			assert.Equal(t, len(status.Keys), test.wantKeys)
+			assert.Equal(t, status.Bytes, test.wantBytes)
+			assert.DeepEqual(t, status.Keys[0], test.unused.Keys[0])
+			assert.Assert(t, status.UnnamedCount == 3 && status.OmittedCount == 7)
+		})
+	}
+}
