command/control: that nothing is lacked any more is published at once

By reading: if control takes the documents and the message that they are all in two batches, the View with the second came up to 250 ms later, and the reader went on reading until then. The test's check is unchanged.

--- a/internal/command/control/configuration.go
+++ b/internal/command/control/configuration.go
@@ -35,7 +35,10 @@
 // applyConfigurationReceived records that the instance has the whole configuration, up
 // to the version that the message states.
 func applyConfigurationReceived(state *State, received message.ConfigurationReceived, now time.Time) Effects {
+	isLacking := !state.ConfigurationLackedSince.IsZero()
 	effects := Effects{PublishStats: raiseCoveredVersion(state, received.Version)}
+	// The reader goes on reading until it sees that nothing is lacked.
+	effects.PublishNow = isLacking && state.ConfigurationLackedSince.IsZero()
 	if received.NotBefore.After(now) {
 		state.configuredFrom = received.NotBefore
 		return effects
--- a/internal/command/control/control.go
+++ b/internal/command/control/control.go
@@ -190,7 +190,7 @@
 		control.delayedKeys[keyrevision.Key] = keyrevision
 	}
 	now := time.Now()
-	isUrgent := effects.RebuildConfiguration || effects.RebuildRoles
+	isUrgent := effects.RebuildConfiguration || effects.RebuildRoles || effects.PublishNow
 	isDue := control.isStatsUpdateDue || control.isDocumentsUpdateDue
 	if !isUrgent && (!isDue || now.Sub(control.publishedAt) < statsInterval) {
 		return nil
--- a/internal/command/control/effects.go
+++ b/internal/command/control/effects.go
@@ -16,6 +16,8 @@
 	// PublishStats asks for a new View with the current loads, counts and times.
 	// It may be delayed.
 	PublishStats bool
+	// PublishNow asks for a new View without delay, with nothing rebuilt.
+	PublishNow bool
 	// Gossip holds the changes to send to the neighbours.
 	Gossip api.Gossip
 	// DelayedKeys holds the documents to send to the neighbours once a View has them.
@@ -44,6 +46,7 @@
 	effects.RebuildConfiguration = effects.RebuildConfiguration || other.RebuildConfiguration
 	effects.RebuildDocuments = effects.RebuildDocuments || other.RebuildDocuments
 	effects.DelayedKeys = append(effects.DelayedKeys, other.DelayedKeys...)
+	effects.PublishNow = effects.PublishNow || other.PublishNow
 	effects.BeginRefresh = effects.BeginRefresh || other.BeginRefresh
 	effects.EndRefresh = effects.EndRefresh || other.EndRefresh
 	effects.IsEraRaised = effects.IsEraRaised || other.IsEraRaised
