--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -344,12 +344,18 @@
 // error if a call fails.
 func (peers *Peers) Sync(ctx context.Context, address string) error {
 	request := syncRequest(peers.currentView.Load())
+	isComplete := true
 	for {
 		reply, err := peers.endpoint.Call(ctx, address, api.PeerRequest{Sync: request})
 		if err != nil || reply.Sync == nil {
 			return err
 		}
-		if err := peers.receiveSync(ctx, reply.Sync); err != nil {
+		// Control decides by these times about documents that the store no longer has.
+		if err := peers.mailbox.Send(ctx, platformMessage(reply.Sync.Platform, time.Now())); err != nil {
+			return err
+		}
+		isComplete = peers.receiveDocuments(ctx, reply.Sync.Documents) && isComplete
+		if err := peers.receiveSync(ctx, reply.Sync, isComplete && reply.Sync.Next == ""); err != nil {
 			return err
 		}
 		if reply.Sync.Next <= request.After {
@@ -381,15 +387,10 @@
 	return request
 }
 
-// receiveSync sends control what a reply to a sync holds. After the last of several
-// replies, this instance has all that the peer has.
-func (peers *Peers) receiveSync(ctx context.Context, reply *api.SyncReply) error {
-	// Control decides by these times about documents that the store no longer has.
-	if err := peers.mailbox.Send(ctx, platformMessage(reply.Platform, time.Now())); err != nil {
-		return err
-	}
-	isComplete := peers.receiveDocuments(ctx, reply.Documents)
-	if isComplete && reply.IsConfigured && reply.Next == "" {
+// receiveSync sends control what a reply to a sync holds besides documents. If hasAll is set,
+// this instance has received all documents that the peer has.
+func (peers *Peers) receiveSync(ctx context.Context, reply *api.SyncReply, hasAll bool) error {
+	if hasAll && reply.IsConfigured {
 		version := api.Version{Era: reply.ConfigurationEra, Revision: reply.ConfigurationRevision}
 		if err := peers.mailbox.Send(ctx, message.ConfigurationReceived{Version: version}); err != nil {
 			return err
