--- a/internal/command/caller/home.go
+++ b/internal/command/caller/home.go
@@ -38,8 +38,8 @@
 	// inheritedCommands holds the ended commands of homes that stopped, by key.
 	inheritedCommands *table.Table[string, *commandEntry]
 
-	// mutex guards isClosed. add also holds it while it
-	// adds to runningCommands, so that none is added once the home is closed.
+	// mutex guards isClosed. add also holds it while it adds to runningCommands, so that
+	// none is added once the home is closed.
 	mutex sync.Mutex
 	// isClosed is set during a planned stop, when keys that were not used yet are
 	// no longer accepted.
--- a/internal/command/control/state.go
+++ b/internal/command/control/state.go
@@ -135,7 +135,7 @@
 	documents     documents
 	roles         roles
 	// sortedDocuments holds the documents in force that are not deletions,
-	// sorted by key, as of the last rebuild of the configuration.
+	// sorted by key, as of the last rebuild of the documents.
 	sortedDocuments []api.DecodedDocument
 	// homes and homedUpstreams are the last assignment of homes, in the form in
 	// which Views hold it.
--- a/internal/command/peer/gossip.go
+++ b/internal/command/peer/gossip.go
@@ -374,7 +374,7 @@
 	for _, document := range current.RefusedDocuments {
 		keyrevision := document.KeyRevision()
 		keyrevision.Refusal = nil
-		if document.Refusal != nil && document.Refusal.IsIgnored {
+		if document.IsIgnored() {
 			// Instances of earlier versions count it as in force.
 			request.RevisionsInForce = append(request.RevisionsInForce, keyrevision)
 			continue
--- a/internal/query/peer/homerouter.go
+++ b/internal/query/peer/homerouter.go
@@ -211,16 +211,6 @@
 	return err
 }
 
-// Breakers returns the number of peers that have failed and are still members.
-func (homerouter *HomeRouter) Breakers() int {
-	count := 0
-	homerouter.breakers.Range(func(any, any) bool {
-		count++
-		return true
-	})
-	return count
-}
-
 // closeBreaker allows all queries to the named peer.
 func (homerouter *HomeRouter) closeBreaker(name string) {
 	if value, isKnown := homerouter.breakers.Load(name); isKnown {
--- a/internal/state/api/refusal.go
+++ b/internal/state/api/refusal.go
@@ -14,6 +14,11 @@
 	IsIgnored bool `cbor:"3,keyasint,omitempty" json:"ignored,omitempty"`
 }
 
+// IsIgnored reports whether the document has a Refusal because it contains nothing to use.
+func (document Document) IsIgnored() bool {
+	return document.Refusal != nil && document.Refusal.IsIgnored
+}
+
 // unusableValue is the value under which a refused document is sent to peers that do not
 // know Refusal: no format of a document allows it.
 var unusableValue = []byte{0}
--- a/internal/state/view/heldversions.go
+++ b/internal/state/view/heldversions.go
@@ -49,7 +49,7 @@
 // unused returns the version of the document that a holder has in place of document, which
 // is refused or ignored. Instances of earlier versions hold ignored documents in force.
 func (heldversions HeldVersions) unused(document api.Document) api.Version {
-	if document.Refusal != nil && document.Refusal.IsIgnored {
+	if document.IsIgnored() {
 		return api.Latest(heldversions.InForce.Stored, heldversions.Refused)
 	}
 	return heldversions.Refused
